--- /dev/null
+++ b/include/ibishold/config.h
@@ -0,0 +1,168 @@
+#ifndef IBISHOLD_CONFIG_H_
+#define IBISHOLD_CONFIG_H_
+
+// Documents that the platform publishes and the rules for accepting them.
+//
+// Index of this header:
+//   1. Topology       services, shards, leaves
+//   2. Table          operators' weights and limits, one row per service and data centre
+//   3. VmList         live and leaving VMs
+//   4. Parsing        JSON text to documents, with the place of a mistake
+//   5. Acceptance     Digest, Document, ConfigStore
+//   6. Operators      CSV, ExplainChange
+//   7. ControlView    what the other threads and the front see
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "ibishold/core.h"
+
+namespace ibishold {
+
+// ---- 1. Topology --------------------------------------------------------------------------------
+
+// Half-open range [begin, end) of record keys; end == 0 means up to the highest key, inclusive.
+struct KeyRange {
+  std::uint64_t begin = 0;
+  std::uint64_t end = 0;
+
+  bool Contains(std::uint64_t key) const { return key >= begin && (end == 0 || key < end); }
+  friend bool operator==(const KeyRange&, const KeyRange&) = default;
+};
+
+struct Leaf {
+  LeafId id;               // unique over all services
+  DataCentre data_centre;  // where it runs
+  std::string address;     // IP number
+  std::uint16_t port = 0;  // HTTP
+};
+
+struct Shard {
+  ShardId id;                // unique within the service
+  KeyRange range;            // records that it holds
+  std::vector<Leaf> leaves;  // replicas, at least one
+};
+
+struct Service {
+  ServiceName name;
+  std::uint32_t slots = 2;                               // requests a leaf runs at a time; 2
+  std::uint32_t connections = 50;                        // connections a leaf accepts; 50
+  Duration connect_cost = std::chrono::milliseconds(5);  // cost of a new connection; 5 ms
+  std::uint64_t index_version = 0;                       // hint; answers state the truth
+  std::vector<Shard> shards;                             // ordered by range.begin
+};
+
+struct Topology {
+  std::uint64_t generation = 0;
+  std::uint64_t partition_map_version = 0;
+  std::vector<Service> services;
+
+  const Service* Find(const ServiceName& name) const;  // null if not published
+};
+
+// ---- 2. Table -----------------------------------------------------------------------------------
+
+enum class RowState : std::uint8_t {
+  kIn,   // takes work
+  kOut,  // taken out by operators: no new work
+};
+
+inline constexpr std::array<std::string_view, 2> kRowStateNames = {"in", "out"};
+
+struct TableRow {
+  ServiceName service;
+  DataCentre data_centre;
+  RowState state = RowState::kIn;  // in
+  std::uint32_t weight = 100;      // 0..100, share of traffic relative to other data centres; 100
+  std::uint32_t max_in_flight = 256;  // 1..100000 queries in flight per VM; 256
+  std::uint32_t rate_limit = 10000;   // 1..1000000 queries/s per VM and tenant; 10000
+  std::uint32_t queue_limit = 64;     // 1..10000 requests waiting per leaf and owner; 64
+  bool hedge = true;                  // send a second attempt after the p95; true
+};
+
+struct Table {
+  std::uint64_t generation = 0;
+  std::uint64_t base = 0;  // generation that the operator edited
+  std::vector<TableRow> rows;
+
+  // Null if the table has no such row; then the defaults of TableRow apply.
+  const TableRow* Find(const ServiceName& service, const DataCentre& data_centre) const;
+};
+
+// ---- 3. VmList ----------------------------------------------------------------------------------
+
+enum class VmState : std::uint8_t { kLive, kLeaving, kLost };
+
+inline constexpr std::array<std::string_view, 3> kVmStateNames = {"live", "leaving", "lost"};
+
+struct VmEntry {
+  VmId id;
+  DataCentre data_centre;
+  std::string address;          // IP number
+  Incarnation incarnation = 0;  // 0: not published
+  VmState state = VmState::kLive;
+};
+
+struct VmList {
+  std::uint64_t generation = 0;
+  std::vector<VmEntry> vms;
+
+  const VmEntry* Find(const VmId& id) const;  // null if not listed
+};
+
+// ---- 4. Parsing ---------------------------------------------------------------------------------
+
+// All return InvalidArgument with the place of the mistake ("rows[3].weight: 120 is outside
+// 0..100") and accept or refuse a document by its text alone.
+absl::StatusOr<Topology> ParseTopology(std::string_view json);
+absl::StatusOr<Table> ParseTable(std::string_view json);
+absl::StatusOr<VmList> ParseVmList(std::string_view json);
+
+// Canonical JSON text of a document; parsing it gives an equal document.
+std::string ToJson(const Topology& topology);
+std::string ToJson(const Table& table);
+std::string ToJson(const VmList& list);
+
+// ---- 5. Acceptance ------------------------------------------------------------------------------
+
+inline constexpr std::string_view kTopologyKey = "topology";
+inline constexpr std::string_view kTableKey = "table";
+inline constexpr std::string_view kVmsKey = "vms";
+
+// Names one accepted text of a key.
+struct Digest {
+  std::string key;
+  std::uint64_t generation = 0;
+  std::uint64_t hash = 0;  // StableHash of the text
+
+  friend bool operator==(const Digest&, const Digest&) = default;
+};
+
+struct Document {
+  Digest digest;
+  std::string text;  // JSON as published
+};
+
+// ---- 7. ControlView -----------------------------------------------------------------------------
+
+// One consistent view of the documents and the peers. Immutable once shared.
+struct ControlView {
+  std::shared_ptr<const Topology> topology;  // null until received
+  std::shared_ptr<const Table> table;        // null until received
+  std::shared_ptr<const VmList> vms;         // null until received; states include peers' reports
+  std::set<VmId> lost_vms;                   // not reachable by their monitors
+  bool may_hold_slots = false;      // false: this VM may be cut off and starts no leaf work
+  std::vector<Document> documents;  // texts, for passing on
+};
+
+using ControlViewPtr = std::shared_ptr<const ControlView>;
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_CONFIG_H_
--- /dev/null
+++ b/include/ibishold/ring.h
@@ -0,0 +1,75 @@
+#ifndef IBISHOLD_RING_H_
+#define IBISHOLD_RING_H_
+
+// Hand-over of items from one thread to another.
+//
+// Index of this header:
+//   1. Ring   bounded single-producer single-consumer ring that wakes the consumer's executor
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace ibishold {
+
+struct RingOptions {
+  std::size_t capacity = 4096;  // items; 4096
+};
+
+// Items pushed by one thread are handled in order on the consumer's executor. The ring must outlive
+// both threads.
+template <typename T>
+class Ring {
+ public:
+  using Handler = std::function<void(T)>;
+
+  Ring(boost::asio::any_io_executor consumer, Handler handler, RingOptions options = {})
+      : executor(std::move(consumer)), handler(std::move(handler)), queue(options.capacity) {}
+
+  Ring(const Ring&) = delete;
+  Ring& operator=(const Ring&) = delete;
+
+  // Returns false and leaves the item untouched when the ring is full; the caller must then refuse
+  // the work. Only one thread may push.
+  bool Push(T&& item) {
+    if (!this->queue.push(std::move(item))) {
+      this->rejected.fetch_add(1, std::memory_order_relaxed);
+      return false;
+    }
+    if (!this->scheduled.exchange(true, std::memory_order_acq_rel)) {
+      boost::asio::post(this->executor, [this] { this->Drain(); });
+    }
+    return true;
+  }
+
+  std::uint64_t rejected_count() const { return this->rejected.load(std::memory_order_relaxed); }
+
+ private:
+  void Drain() {
+    this->scheduled.store(false, std::memory_order_release);
+    // Bounded by the items present at the start, so that a busy producer cannot hold the consumer.
+    T item;
+    for (std::size_t left = this->queue.read_available(); left > 0 && this->queue.pop(item);
+         --left) {
+      this->handler(std::move(item));
+    }
+    if (this->queue.read_available() > 0 &&
+        !this->scheduled.exchange(true, std::memory_order_acq_rel)) {
+      boost::asio::post(this->executor, [this] { this->Drain(); });
+    }
+  }
+
+  boost::asio::any_io_executor executor;
+  Handler handler;
+  boost::lockfree::spsc_queue<T> queue;
+  std::atomic<bool> scheduled{false};
+  std::atomic<std::uint64_t> rejected{0};
+};
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_RING_H_
--- /dev/null
+++ b/schema/ibishold.capnp
@@ -0,0 +1,218 @@
+@0xb1c6f0d2a4e89377;
+
+# Messages between the system's own processes. A frame on TCP is a 4-byte little-endian length and one
+# unpacked message of type Frame; a UDP datagram is one message of type Datagram.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("ibishold::wire");
+
+struct Frame {
+  correlation       @0 :UInt64;   # matches an answer to its request; unique per link and direction
+  senderIncarnation @1 :UInt64;   # run of the sending process
+  body :union {
+    ping          @2 :Void;
+    pong          @3 :Void;
+    hello         @4 :Hello;
+    leafBatch     @5 :LeafBatch;      # front -> broker
+    leafAnswer    @6 :LeafAnswer;     # broker -> front, correlation = that of the batch
+    cancel        @7 :Cancel;         # front -> broker
+    cancelResult  @8 :CancelResult;   # broker -> front
+    getView       @9 :GetView;        # front -> local broker
+    view          @10 :View;          # broker -> front
+    execute       @11 :Execute;       # front -> front that is the home of the token
+    executeResult @12 :ExecuteResult;
+    tokenHandOver @13 :TokenHandOver; # front -> successor front
+    slotRelease   @14 :SlotRelease;   # broker -> broker
+    leafState     @15 :LeafState;     # broker -> broker
+    quarantine    @16 :Quarantine;    # broker -> broker, front <-> broker
+    getDocument   @17 :GetDocument;   # broker -> broker
+    document      @18 :Document;
+    acknowledge   @19 :Void;          # generic positive answer
+    goingAway     @20 :Void;          # planned stop: send nothing new on this link
+  }
+}
+
+struct Hello {
+  vm    @0 :Text;
+  role  @1 :Role;
+  enum Role { front @0; broker @1; }
+}
+
+enum RequestClass { interactive @0; standard @1; bulk @2; }
+enum Verdict { notRun @0; mayHaveRun @1; ran @2; }
+
+enum Outcome {
+  ok           @0;   # records in the answer
+  versionGone  @1;   # the leaf does not hold the pinned index version; not run
+  shed         @2;   # refused by the broker or the leaf before running
+  deadline     @3;   # could not finish in time
+  unreachable  @4;   # no connection to the leaf
+  leafLost     @5;   # connection lost while the request may have been running
+  notOwner     @6;   # this broker holds no slot of the leaf now
+  draining     @7;   # the leaf or its data centre takes no new work
+  quarantined  @8;   # the request is suspected of crashing leaves
+  cancelled    @9;   # cancelled by the front
+  failed       @10;  # the leaf answered with an error
+}
+
+enum RequestKind { search @0; execute @1; }
+
+struct LeafRequest {
+  attempt   @0 :UInt64;   # unique per front incarnation
+  leaf      @1 :Text;
+  shard     @2 :Text;
+  hedge     @3 :Bool;     # second attempt while the first is still out
+  canary    @4 :Bool;     # runs alone to test a suspect fingerprint
+}
+
+struct LeafBatch {
+  requestId       @0 :Text;
+  service         @1 :Text;
+  kind            @2 :RequestKind;
+  requestClass    @3 :RequestClass;
+  tenant          @4 :Text;
+  timeLeftMicros  @5 :UInt64;
+  indexVersion    @6 :UInt64;
+  mapVersion      @7 :UInt64;
+  fingerprint     @8 :UInt64;
+  body            @9 :Data;     # JSON of the query or operation, shared by all requests of the batch
+  requests        @10 :List(LeafRequest);
+}
+
+struct LeafAnswer {
+  attempt          @0 :UInt64;
+  outcome          @1 :Outcome;
+  verdict          @2 :Verdict;
+  complete         @3 :Bool;        # false: the leaf said that its own answer is partial
+  records          @4 :Data;        # JSON array as sent by the leaf
+  indexVersion     @5 :UInt64;
+  mapVersion       @6 :UInt64;
+  versionsHeld     @7 :List(UInt64);
+  leafIncarnation  @8 :UInt64;
+  leafUptimeMillis @9 :UInt64;
+  retryAfterMillis @10 :UInt64;
+  queueMicros      @11 :UInt64;
+  serviceMicros    @12 :UInt64;
+  message          @13 :Text;
+}
+
+struct Cancel {
+  attempts @0 :List(UInt64);
+}
+
+struct CancelResult {
+  attempt @0 :UInt64;
+  verdict @1 :Verdict;   # notRun only if the broker removed it before the first byte was written
+}
+
+struct Digest {
+  key        @0 :Text;
+  generation @1 :UInt64;
+  hash       @2 :UInt64;
+}
+
+struct GetView {
+  known @0 :List(Digest);
+}
+
+struct View {
+  documents   @0 :List(Document);   # only those that differ from the known digests
+  lostVms     @1 :List(Text);
+  ready       @2 :Bool;
+  stale       @3 :Bool;             # this VM may be cut off: start no new leaf work
+  quarantined @4 :List(Quarantine);
+  successors  @5 :List(Successor);
+}
+
+struct Successor {
+  incarnation @0 :UInt64;   # run of a front that has stopped
+  vm          @1 :Text;     # VM that took over its tokens
+}
+
+struct Execute {
+  token          @0 :Text;
+  service        @1 :Text;
+  tenant         @2 :Text;
+  requestClass   @3 :RequestClass;
+  timeLeftMicros @4 :UInt64;
+  key            @5 :UInt64;
+  operation      @6 :Data;
+  fingerprint    @7 :UInt64;
+}
+
+struct ExecuteResult {
+  verdict          @0 :Verdict;
+  status           @1 :UInt16;   # HTTP status for the caller
+  body             @2 :Data;
+  retryAfterMillis @3 :UInt64;
+}
+
+struct TokenHandOver {
+  incarnation @0 :UInt64;        # home run whose tokens these are
+  entries     @1 :List(TokenEntry);
+  last        @2 :Bool;
+}
+
+struct TokenEntry {
+  sequence     @0 :UInt64;
+  expiryMillis @1 :UInt64;       # time left
+  state        @2 :State;
+  verdict      @3 :Verdict;
+  status       @4 :UInt16;
+  body         @5 :Data;
+  enum State { issued @0; running @1; finished @2; }
+}
+
+struct SlotRelease {
+  leaf  @0 :Text;
+  slots @1 :UInt32;
+}
+
+struct LeafState {
+  leaf        @0 :Text;
+  incarnation @1 :UInt64;
+  level       @2 :UInt32;   # requests in flight that the leaf may have over the whole fleet
+  warm        @3 :Bool;
+}
+
+struct Quarantine {
+  fingerprint @0 :UInt64;
+  crashes     @1 :UInt32;
+  ttlMillis   @2 :UInt64;
+}
+
+struct GetDocument {
+  key @0 :Text;
+}
+
+struct Document {
+  key        @0 :Text;
+  generation @1 :UInt64;
+  hash       @2 :UInt64;
+  body       @3 :Data;
+}
+
+enum VmState { live @0; leaving @1; lost @2; }
+
+struct VmFact {
+  vm          @0 :Text;
+  incarnation @1 :UInt64;
+  state       @2 :VmState;
+}
+
+struct Heartbeat {
+  vm          @0 :Text;
+  incarnation @1 :UInt64;
+  sequence    @2 :UInt64;
+  state       @3 :VmState;
+  digests     @4 :List(Digest);
+  facts       @5 :List(VmFact);
+  successors  @6 :List(Successor);
+}
+
+struct Datagram {
+  body :union {
+    heartbeat    @0 :Heartbeat;
+    heartbeatAck @1 :Heartbeat;   # sequence repeats that of the heartbeat
+  }
+}
--- /dev/null
+++ b/src/ownership/slot_plan.cc
@@ -0,0 +1,30 @@
+#include "ibishold/ownership.h"
+
+namespace ibishold {
+
+SlotPlan::SlotPlan(const Topology& topology, const VmList& vms, const PlacementOptions& options) {
+  for (const Service& service : topology.services) {
+    for (const Shard& shard : service.shards) {
+      for (const Leaf& leaf : shard.leaves) {
+        this->owners[leaf.id.value] = PlaceLeaf(leaf, service.slots, vms, options);
+      }
+    }
+  }
+}
+
+const std::vector<SlotOwner>& SlotPlan::OwnersOf(const LeafId& leaf) const {
+  static const std::vector<SlotOwner> kNone;
+  const auto found = this->owners.find(leaf.value);
+  return found == this->owners.end() ? kNone : found->second;
+}
+
+std::uint32_t SlotPlan::SlotsOf(const VmId& vm, const LeafId& leaf) const {
+  for (const SlotOwner& owner : this->OwnersOf(leaf)) {
+    if (owner.vm == vm) {
+      return owner.slots;
+    }
+  }
+  return 0;
+}
+
+}  // namespace ibishold
