--- /dev/null
+++ b/src/broker/leaf_dispatcher.h
@@ -0,0 +1,224 @@
+#ifndef IBISHOLD_BROKER_LEAF_DISPATCHER_H_
+#define IBISHOLD_BROKER_LEAF_DISPATCHER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "broker/leaf_work.h"
+#include "ibishold/leaf.h"
+#include "ibishold/policy.h"
+
+namespace ibishold {
+
+// ---- Actions ------------------------------------------------------------------------------------
+
+struct OpenConnection {
+  std::uint64_t connection = 0;
+};
+struct CloseConnection {
+  std::uint64_t connection = 0;
+};
+struct CallLeaf {
+  std::uint64_t connection = 0;
+  LeafCall call;
+};
+struct AnswerWork {
+  LeafWork work;
+  LeafResult result;
+};
+struct AnswerCancel {
+  std::uint64_t link = 0;
+  std::uint64_t correlation = 0;
+  std::uint64_t attempt = 0;
+  Verdict verdict = Verdict::kMayHaveRun;
+};
+// These attempts were running when the leaf restarted or all its connections were reset.
+struct ReportSuspects {
+  std::vector<std::uint64_t> fingerprints;
+};
+
+using LeafAction = std::variant<OpenConnection,
+                                CloseConnection,
+                                CallLeaf,
+                                AnswerWork,
+                                AnswerCancel,
+                                ReportSuspects>;
+
+// ---- LeafDispatcher -----------------------------------------------------------------------------
+
+// Events over all leaves of a broker.
+struct DispatchCounters {
+  std::uint64_t sent = 0;                   // searches and executes handed to a leaf connection
+  std::uint64_t sheds = 0;                  // refused: queue full or leaf cold
+  std::uint64_t late_refusals = 0;          // refused: could not finish in time
+  std::uint64_t leaf_sheds = 0;             // 503 from the leaf
+  std::uint64_t timeouts = 0;               // deadline passed while running
+  std::uint64_t cancelled_queued = 0;       // removed before the first byte
+  std::uint64_t cancelled_running = 0;      // cancelled after the first byte
+  std::uint64_t abandoned_connections = 0;  // closed because an answer was abandoned on them
+  std::uint64_t silent_connections = 0;     // closed 1 s after the deadline of an answer
+  std::uint64_t late_answers = 0;           // dropped
+  std::uint64_t mismatched_answers = 0;     // X-Request-Id of another request; dropped
+  std::uint64_t cold_transitions = 0;
+};
+
+struct LeafDispatcherOptions {
+  LeafId leaf;
+  std::size_t queue_limit = 64;                                   // 64
+  bool refuse_late = true;                                        // DeadlineQueueOptions; true
+  WarmUpOptions warm_up;                                          // see WarmUpOptions
+  Duration occupied_after_deadline = std::chrono::seconds(2);     // 2 s
+  Duration silent_after_deadline = std::chrono::seconds(1);       // 1 s
+  Duration verify_interval = std::chrono::seconds(5);             // 5 s for idle connections
+  Duration verify_limit = std::chrono::seconds(1);                // 1 s for the answer
+  Duration fresh_limit = std::chrono::seconds(1);                 // 1 s, for executes
+  Duration minimum_backoff = std::chrono::milliseconds(50);       // 50 ms, doubles per failure
+  Duration maximum_backoff = std::chrono::seconds(2);             // 2 s
+  Duration draining_recheck = std::chrono::seconds(10);           // 10 s
+  std::size_t finished_limit = 1024;                              // verdicts kept for cancels
+  std::uint64_t seed = 1;                                         // of the retry jitter
+};
+
+// Decides about the work and the connections of one leaf. Performs nothing itself: every call may
+// append actions, which the caller takes and carries out in order.
+class LeafDispatcher {
+ public:
+  LeafDispatcher(LeafDispatcherOptions options, DispatchCounters& counters);
+
+  // Requests of fronts.
+  void Submit(LeafWork work, TimePoint now);
+  void Cancel(std::uint64_t link,
+              std::uint64_t correlation,
+              std::uint64_t attempt,
+              TimePoint now);
+  void DropLink(std::uint64_t link, TimePoint now);  // nobody waits for its work any more
+
+  // Rights and state of the leaf.
+  void SetSlots(std::uint32_t usable, TimePoint now);  // slots that this VM may use now
+  void SetShare(const WarmUpShare& share) { this->warm_up.SetShare(share); }
+  void SetQueueLimit(std::size_t limit) { this->queue.SetLimit(limit); }
+  void SetTakenOut(bool taken_out, TimePoint now);  // by the operators' table
+  void OnPeerLevel(const LeafLevel& level, TimePoint now);
+  void RefuseFingerprint(std::uint64_t fingerprint, TimePoint now);  // drops queued work
+  void Close(TimePoint now);  // the leaf left the topology
+
+  // Events of connections.
+  void Opened(std::uint64_t connection, TimePoint now);
+  void Replied(std::uint64_t connection, const LeafReply& reply, TimePoint now);
+  void Closed(std::uint64_t connection, TimePoint now);  // failed to open, reset or ended
+
+  // Deadlines, verification, reconnects; call at least every 50 ms.
+  void Tick(TimePoint now);
+
+  // Starts what may be started. Called by all of the above; call it after TakeLevelMessage too.
+  void Pump(TimePoint now);
+
+  std::vector<LeafAction> TakeActions() { return std::exchange(this->actions, {}); }
+  std::optional<LeafLevel> TakeLevelMessage() { return this->warm_up.TakeMessage(); }
+  LeafLevel Level() const { return this->warm_up.Level(); }
+
+  const LeafId& leaf() const { return this->options.leaf; }
+  std::uint32_t slots() const { return this->usable_slots; }
+  std::uint32_t busy() const { return this->limiter.busy(); }
+  std::uint32_t abandoned() const { return this->limiter.abandoned(); }
+  std::uint32_t allowance() const { return this->warm_up.Allowance(); }
+  std::size_t queued() const { return this->queue.size(); }
+  std::size_t connection_count() const { return this->connections.size(); }
+  bool draining() const { return this->taken_out || this->leaf_draining; }
+  ColdReason cold_reason() const { return this->warm_up.last_reason(); }
+  bool idle() const { return this->limiter.busy() == 0 && this->waiting.empty(); }
+
+ private:
+  enum class ConnectionState : std::uint8_t { kOpening, kVerifying, kIdle, kWorking, kCancelling };
+
+  struct Connection {
+    ConnectionState state = ConnectionState::kOpening;
+    TimePoint verified_at{};      // last answer on it
+    TimePoint limit{};            // an answer to a verification or cancel is due by then
+    Incarnation incarnation = 0;  // run of the leaf at its other end
+    std::uint64_t call = 0;       // call it runs or cancels
+  };
+
+  struct Running {
+    LeafWork work;
+    std::uint64_t connection = 0;  // 0: lost
+    std::uint64_t stage = 0;       // of the warm-up
+    Incarnation incarnation = 0;   // of the leaf when it was sent
+    TimePoint sent_at{};
+    bool answered = false;  // the front has been told or does not wait
+  };
+
+  using AttemptKey = std::pair<std::uint64_t, std::uint64_t>;  // link, attempt
+
+  // leaf_dispatcher.cc
+  void Refuse(const LeafWork& work, wire::Outcome outcome, std::string message, TimePoint now);
+  void RefuseQueued(wire::Outcome outcome, const std::string& message, TimePoint now);
+  void RefuseItems(const std::vector<RefusedItem>& refused, TimePoint now);
+  std::optional<LeafWork> TakeWaiting(std::uint64_t call);
+  void Answer(const LeafWork& work, LeafResult result);
+  void Remember(const LeafWork& work, Verdict verdict);
+  ServiceSpeed Speed() const;
+  void CountCold();
+
+  // leaf_running.cc
+  void Start(std::uint64_t call, std::uint64_t connection, TimePoint now);
+  void AbandonRunning(std::uint64_t call, bool cancel_at_leaf);
+  void FinishReply(std::uint64_t call, const LeafReply& reply, TimePoint now);
+  LeafResult ResultOf(Running& running, const LeafReply& reply, TimePoint now);
+  void LoseRunning(std::uint64_t call, const std::string& message, TimePoint now);
+  void ReportRunning();
+  void CheckDeadlines(TimePoint now);
+
+  // leaf_connections.cc
+  void KeepConnections(TimePoint now);
+  std::size_t ConnectionTarget(TimePoint now) const;
+  std::optional<std::uint64_t> PickConnection(bool execute, TimePoint now);
+  void Verify(std::uint64_t id, TimePoint now);
+  void SendCancels(TimePoint now);
+  void CloseOwn(std::uint64_t id);
+  void CloseIdle();
+  void LearnFacts(const LeafReply& reply, TimePoint now);
+  void LeafRestarted(Incarnation incarnation, TimePoint now);
+  void CancelReplied(std::uint64_t call, const LeafReply& reply);
+  bool Reachable() const;
+
+  LeafDispatcherOptions options;
+  DispatchCounters& counters;
+  Random random;
+  LeafLimiter limiter;
+  WarmUp warm_up;
+  ServiceTimes times;
+  DeadlineQueue queue;
+  DrainRate drain;
+  std::uint32_t usable_slots = 0;
+  bool taken_out = false;
+  bool leaf_draining = false;
+  bool closed = false;
+  TimePoint recheck_at{};  // while the leaf drains
+  bool connected = false;  // a connection was open and the leaf has not dropped all since
+  bool unreachable = false;
+  Duration backoff{};
+  TimePoint open_after{};
+  std::uint64_t last_id = 0;  // of calls and connections
+  std::uint64_t counted_cold = 0;
+  std::unordered_map<std::uint64_t, LeafWork> waiting;
+  std::unordered_map<std::uint64_t, Running> running;
+  std::map<AttemptKey, std::uint64_t> calls;  // attempts that wait or run and are not answered
+  std::map<AttemptKey, Verdict> finished;
+  std::deque<AttemptKey> finished_order;
+  std::map<std::uint64_t, Connection> connections;
+  std::set<std::uint64_t> to_cancel;  // calls to be cancelled at the leaf
+  std::vector<LeafAction> actions;
+};
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_BROKER_LEAF_DISPATCHER_H_
--- /dev/null
+++ b/src/policy/deadline_queue.cc
@@ -0,0 +1,111 @@
+#include <algorithm>
+
+#include "ibishold/policy.h"
+
+namespace ibishold {
+
+std::optional<RefusedItem> DeadlineQueue::Push(const QueueItem& item,
+                                               TimePoint now,
+                                               const ServiceSpeed& speed) {
+  const auto rounds = this->Ahead(item) / std::max(1U, speed.parallel);
+  if (this->IsLate(item, now, speed.median * (rounds + 1))) {
+    return RefusedItem{.id = item.id, .reason = QueueRefusal::kLate};
+  }
+  this->items.emplace(item.id, item);
+  this->classes[static_cast<std::size_t>(item.request_class)].emplace(item.deadline, item.id);
+  if (this->items.size() <= this->options.limit) {
+    return std::nullopt;
+  }
+  // The item of the lowest class with the most time left has the best chance elsewhere.
+  for (std::size_t i = this->classes.size(); i-- > 0;) {
+    if (this->classes[i].empty()) {
+      continue;
+    }
+    const std::uint64_t victim = std::prev(this->classes[i].end())->second;
+    this->Remove(victim);
+    return RefusedItem{.id = victim, .reason = QueueRefusal::kFull};
+  }
+  return std::nullopt;
+}
+
+std::optional<QueueItem> DeadlineQueue::Pop(TimePoint now,
+                                            const ServiceSpeed& speed,
+                                            std::vector<RefusedItem>& refused) {
+  while (const std::optional<QueueItem> item = this->Peek()) {
+    this->Remove(item->id);
+    if (!this->IsLate(*item, now, speed.median)) {
+      return item;
+    }
+    refused.push_back({.id = item->id, .reason = QueueRefusal::kLate});
+  }
+  return std::nullopt;
+}
+
+std::optional<QueueItem> DeadlineQueue::Peek() const {
+  for (const std::set<Key>& waiting : this->classes) {
+    if (!waiting.empty()) {
+      return this->items.at(waiting.begin()->second);
+    }
+  }
+  return std::nullopt;
+}
+
+void DeadlineQueue::Sweep(TimePoint now,
+                          const ServiceSpeed& speed,
+                          std::vector<RefusedItem>& refused) {
+  for (std::set<Key>& waiting : this->classes) {
+    while (!waiting.empty()) {
+      const QueueItem item = this->items.at(waiting.begin()->second);
+      if (!this->IsLate(item, now, speed.median)) {
+        break;
+      }
+      this->Remove(item.id);
+      refused.push_back({.id = item.id, .reason = QueueRefusal::kLate});
+    }
+  }
+}
+
+bool DeadlineQueue::Remove(std::uint64_t id) {
+  const auto found = this->items.find(id);
+  if (found == this->items.end()) {
+    return false;
+  }
+  const QueueItem& item = found->second;
+  this->classes[static_cast<std::size_t>(item.request_class)].erase({item.deadline, id});
+  this->items.erase(found);
+  return true;
+}
+
+std::vector<std::uint64_t> DeadlineQueue::Clear() {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(this->items.size());
+  for (std::set<Key>& waiting : this->classes) {
+    for (const Key& key : waiting) {
+      ids.push_back(key.second);
+    }
+    waiting.clear();
+  }
+  this->items.clear();
+  return ids;
+}
+
+bool DeadlineQueue::IsLate(const QueueItem& item, TimePoint now, Duration needed) const {
+  if (item.deadline <= now) {
+    return true;
+  }
+  return this->options.refuse_late && now + needed > item.deadline;
+}
+
+std::size_t DeadlineQueue::Ahead(const QueueItem& item) const {
+  std::size_t ahead = 0;
+  const auto own = static_cast<std::size_t>(item.request_class);
+  for (std::size_t i = 0; i < own; ++i) {
+    ahead += this->classes[i].size();
+  }
+  const std::set<Key>& same = this->classes[own];
+  ahead += static_cast<std::size_t>(
+      std::distance(same.begin(), same.lower_bound({item.deadline, item.id})));
+  return ahead;
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/src/policy/service_times.cc
@@ -0,0 +1,48 @@
+#include <algorithm>
+
+#include "ibishold/policy.h"
+
+namespace ibishold {
+
+namespace {
+
+constexpr std::size_t kShort = 8;  // calls that show a change soon enough
+// The usual time counts only after enough calls to be more than the ramp of a cold leaf.
+constexpr std::uint64_t kHistory = 64;
+
+}  // namespace
+
+void ServiceTimes::Record(Duration time) {
+  this->window[this->next] = time;
+  this->next = (this->next + 1) % this->window.size();
+  this->filled = std::min(this->filled + 1, this->window.size());
+  ++this->samples;
+  std::array<Duration, 32> sorted = this->window;
+  const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(this->filled / 2);
+  std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(this->filled));
+  this->recent_median = *middle;
+  if (this->samples == this->window.size()) {
+    this->usual = this->recent_median;
+  } else if (this->samples > this->window.size()) {
+    this->usual += (this->recent_median - this->usual) / 256;
+  }
+}
+
+void ServiceTimes::Forget() {
+  *this = ServiceTimes{};
+}
+
+bool ServiceTimes::FarAboveHistory() const {
+  if (this->samples < kHistory) {
+    return false;
+  }
+  std::array<Duration, kShort> last{};
+  for (std::size_t i = 0; i < kShort; ++i) {
+    last[i] = this->window[(this->next + this->window.size() - 1 - i) % this->window.size()];
+  }
+  std::nth_element(last.begin(), last.begin() + kShort / 2, last.end());
+  const Duration median = last[kShort / 2];
+  return median > this->usual * 4 && median > this->usual + std::chrono::milliseconds(20);
+}
+
+}  // namespace ibishold
