--- a/include/ibishold/config.h
+++ b/include/ibishold/config.h
@@ -12,7 +12,10 @@
 //   6. Operators      CSV, ExplainChange
 //   7. ControlView    what the other threads and the front see
 
+#include <array>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -149,6 +152,65 @@
   std::string text;  // JSON as published
 };
 
+// True if `candidate` replaces `current` of the same key: a higher generation does, and of two
+// texts that claim one generation the one with the lower hash does, so that all VMs end with the
+// same one.
+bool Supersedes(const Digest& candidate, const Digest& current);
+
+enum class OfferResult : std::uint8_t {
+  kAccepted,         // newer: now in force
+  kKnown,            // the text that is in force
+  kOlder,            // lower generation than the one in force
+  kConflictApplied,  // same generation with a lower hash: now in force, alarm
+  kConflictKept,     // same generation with a higher hash: not applied, alarm
+  kInvalid,          // refused as a whole for its text
+};
+
+inline constexpr std::array<std::string_view, 6> kOfferResultNames = {
+    "accepted", "known", "older", "conflict_applied", "conflict_kept", "invalid"};
+
+// True if the offer changed what is in force.
+constexpr bool Applied(OfferResult result) {
+  return result == OfferResult::kAccepted || result == OfferResult::kConflictApplied;
+}
+
+// A text that was refused, kept so that it is neither fetched nor parsed again.
+struct RefusedDocument {
+  Digest digest;       // generation as claimed by whoever offered it
+  std::string reason;  // place and kind of the mistake
+};
+
+// Documents in force on this VM. What is in force depends only on the set of texts offered, never
+// on their order, and its (generation, hash) only moves forward. Not thread-safe.
+class ConfigStore {
+ public:
+  // Generation and hash are taken from the text; the digest of the argument names the key and, for
+  // a text that cannot be read, the generation to remember.
+  OfferResult Offer(Document document);
+
+  // True if a text with this digest would be applied and is not known to be invalid.
+  bool Wants(const Digest& digest) const;
+
+  std::vector<Digest> digests() const;               // of the documents in force
+  const Document* Find(std::string_view key) const;  // null if none is in force
+  const std::shared_ptr<const Topology>& topology() const { return this->topology_in_force; }
+  const std::shared_ptr<const Table>& table() const { return this->table_in_force; }
+  const std::shared_ptr<const VmList>& vms() const { return this->vms_in_force; }
+  const std::vector<Document>& documents() const { return this->in_force; }
+  const std::deque<RefusedDocument>& refused() const { return this->refusals; }  // oldest first
+  std::uint64_t conflicts() const { return this->conflict_count; }  // alarms since start
+
+ private:
+  bool IsRefused(const Digest& digest) const;
+
+  std::shared_ptr<const Topology> topology_in_force;
+  std::shared_ptr<const Table> table_in_force;
+  std::shared_ptr<const VmList> vms_in_force;
+  std::vector<Document> in_force;
+  std::deque<RefusedDocument> refusals;
+  std::uint64_t conflict_count = 0;
+};
+
 // ---- 7. ControlView -----------------------------------------------------------------------------
 
 // One consistent view of the documents and the peers. Immutable once shared.
@@ -157,8 +219,10 @@
   std::shared_ptr<const Table> table;        // null until received
   std::shared_ptr<const VmList> vms;         // null until received; states include peers' reports
   std::set<VmId> lost_vms;                   // not reachable by their monitors
-  bool may_hold_slots = false;      // false: this VM may be cut off and starts no leaf work
-  std::vector<Document> documents;  // texts, for passing on
+  bool ready = false;                        // topology and VM list are in force
+  bool may_hold_slots = false;             // false: this VM may be cut off and starts no leaf work
+  std::map<Incarnation, VmId> successors;  // stopped run of a front -> VM that took its tokens
+  std::vector<Document> documents;         // texts, for passing on
 };
 
 using ControlViewPtr = std::shared_ptr<const ControlView>;
