--- a/include/ibishold/policy.h
+++ b/include/ibishold/policy.h
@@ -74,10 +74,10 @@
     "none", "unknown", "incarnation", "uptime", "reset", "reconnect", "latency", "peer"};
 
 struct WarmUpOptions {
-  bool enabled = true;                            // false: every leaf counts as warm; true
-  std::uint32_t successes_per_level = 8;          // 8 completed calls raise the level by one
+  bool enabled = true;                              // false: every leaf counts as warm; true
+  std::uint32_t successes_per_level = 8;            // 8 completed calls raise the level by one
   Duration uptime_limit = std::chrono::seconds(3);  // 3 s; a lower uptime is cold evidence
-  std::uint32_t failures_in_row = 4;              // 4 time-outs in a row are cold evidence
+  std::uint32_t failures_in_row = 4;                // 4 time-outs in a row are cold evidence
 };
 
 // What this owner and the other one may use of the leaf when it is warm.
@@ -196,8 +196,8 @@
 
 // Speed of the leaf as far as the queue is concerned.
 struct ServiceSpeed {
-  Duration median{};            // time of one call
-  std::uint32_t parallel = 1;   // calls that may run at a time
+  Duration median{};           // time of one call
+  std::uint32_t parallel = 1;  // calls that may run at a time
 };
 
 // Items wait in order of class, within a class in order of deadline. Refused items were never
--- a/src/adapters/leaf/leaf_connection.cc
+++ b/src/adapters/leaf/leaf_connection.cc
@@ -64,8 +64,8 @@
   reply.draining = Field(message, "X-Draining") == "1";
   double seconds = 0;
   if (absl::SimpleAtod(std::string(Field(message, "Retry-After")), &seconds) && seconds > 0) {
-    reply.retry_after = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-        std::min(seconds, 3600.0)));
+    reply.retry_after = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(seconds, 3600.0)));
   }
   reply.body = std::move(message.body());
   return reply;
@@ -149,13 +149,14 @@
   this->outstanding = true;
   this->writing = true;
   this->request = RequestOf(call, this->host);
-  http::async_write(this->stream, *this->request,
-                    [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-                      self->writing = false;
-                      if (error) {
-                        self->Fail(absl::UnavailableError(error.message()));
-                      }
-                    });
+  http::async_write(
+      this->stream, *this->request,
+      [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+        self->writing = false;
+        if (error) {
+          self->Fail(absl::UnavailableError(error.message()));
+        }
+      });
 }
 
 void LeafConnection::Close() {
--- a/src/adapters/leaf/leaf_json.cc
+++ b/src/adapters/leaf/leaf_json.cc
@@ -34,8 +34,7 @@
     return LeafCancelState::kUnknown;
   }
   const std::string_view name(state->get_string().data(), state->get_string().size());
-  return FromName<LeafCancelState>(kLeafCancelStateNames, name)
-      .value_or(LeafCancelState::kUnknown);
+  return FromName<LeafCancelState>(kLeafCancelStateNames, name).value_or(LeafCancelState::kUnknown);
 }
 
 }  // namespace ibishold
--- a/src/broker/leaf_connections.cc
+++ b/src/broker/leaf_connections.cc
@@ -74,13 +74,12 @@
   }
   const Connection connection = found->second;
   this->connections.erase(found);
-  const bool open_left =
-      std::any_of(this->connections.begin(), this->connections.end(), [](const auto& other) {
-        return other.second.state != ConnectionState::kOpening;
-      });
+  const bool open_left = std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& other) { return other.second.state != ConnectionState::kOpening; });
   if (connection.state == ConnectionState::kOpening || !open_left) {
-    this->backoff = std::clamp(this->backoff * 2, this->options.minimum_backoff,
-                               this->options.maximum_backoff);
+    this->backoff =
+        std::clamp(this->backoff * 2, this->options.minimum_backoff, this->options.maximum_backoff);
     this->open_after = now + this->backoff;
   }
   if (!open_left && this->connected) {
@@ -132,7 +131,8 @@
     ++this->counters.silent_connections;
     const Connection connection = this->connections.at(id);
     this->CloseOwn(id);
-    if (connection.state == ConnectionState::kCancelling && this->running.contains(connection.call)) {
+    if (connection.state == ConnectionState::kCancelling &&
+        this->running.contains(connection.call)) {
       this->to_cancel.insert(connection.call);
     }
   }
@@ -156,10 +156,9 @@
     this->actions.emplace_back(OpenConnection{.connection = id});
   }
   // One at a time, so that verifications never hold up work.
-  const bool verifying =
-      std::any_of(this->connections.begin(), this->connections.end(), [](const auto& entry) {
-        return entry.second.state == ConnectionState::kVerifying;
-      });
+  const bool verifying = std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& entry) { return entry.second.state == ConnectionState::kVerifying; });
   if (verifying) {
     return;
   }
--- a/src/broker/leaf_dispatcher.cc
+++ b/src/broker/leaf_dispatcher.cc
@@ -31,8 +31,7 @@
     return;
   }
   const std::uint64_t call = ++this->last_id;
-  const QueueItem item{
-      .id = call, .request_class = work.request_class, .deadline = work.deadline};
+  const QueueItem item{.id = call, .request_class = work.request_class, .deadline = work.deadline};
   this->calls[{work.link, work.attempt}] = call;
   this->waiting.emplace(call, std::move(work));
   if (const auto refused = this->queue.Push(item, now, this->Speed())) {
@@ -71,6 +70,11 @@
   this->Pump(now);
 }
 
+bool LeafDispatcher::Knows(std::uint64_t link, std::uint64_t attempt) const {
+  const AttemptKey key{link, attempt};
+  return this->calls.contains(key) || this->finished.contains(key);
+}
+
 void LeafDispatcher::DropLink(std::uint64_t link, TimePoint now) {
   std::vector<std::uint64_t> lost;
   for (const auto& [key, call] : this->calls) {
--- a/src/broker/leaf_dispatcher.h
+++ b/src/broker/leaf_dispatcher.h
@@ -45,12 +45,8 @@
   std::vector<std::uint64_t> fingerprints;
 };
 
-using LeafAction = std::variant<OpenConnection,
-                                CloseConnection,
-                                CallLeaf,
-                                AnswerWork,
-                                AnswerCancel,
-                                ReportSuspects>;
+using LeafAction = std::
+    variant<OpenConnection, CloseConnection, CallLeaf, AnswerWork, AnswerCancel, ReportSuspects>;
 
 // ---- LeafDispatcher -----------------------------------------------------------------------------
 
@@ -72,19 +68,19 @@
 
 struct LeafDispatcherOptions {
   LeafId leaf;
-  std::size_t queue_limit = 64;                                   // 64
-  bool refuse_late = true;                                        // DeadlineQueueOptions; true
-  WarmUpOptions warm_up;                                          // see WarmUpOptions
-  Duration occupied_after_deadline = std::chrono::seconds(2);     // 2 s
-  Duration silent_after_deadline = std::chrono::seconds(1);       // 1 s
-  Duration verify_interval = std::chrono::seconds(5);             // 5 s for idle connections
-  Duration verify_limit = std::chrono::seconds(1);                // 1 s for the answer
-  Duration fresh_limit = std::chrono::seconds(1);                 // 1 s, for executes
-  Duration minimum_backoff = std::chrono::milliseconds(50);       // 50 ms, doubles per failure
-  Duration maximum_backoff = std::chrono::seconds(2);             // 2 s
-  Duration draining_recheck = std::chrono::seconds(10);           // 10 s
-  std::size_t finished_limit = 1024;                              // verdicts kept for cancels
-  std::uint64_t seed = 1;                                         // of the retry jitter
+  std::size_t queue_limit = 64;                                // 64
+  bool refuse_late = true;                                     // DeadlineQueueOptions; true
+  WarmUpOptions warm_up;                                       // see WarmUpOptions
+  Duration occupied_after_deadline = std::chrono::seconds(2);  // 2 s
+  Duration silent_after_deadline = std::chrono::seconds(1);    // 1 s
+  Duration verify_interval = std::chrono::seconds(5);          // 5 s for idle connections
+  Duration verify_limit = std::chrono::seconds(1);             // 1 s for the answer
+  Duration fresh_limit = std::chrono::seconds(1);              // 1 s, for executes
+  Duration minimum_backoff = std::chrono::milliseconds(50);    // 50 ms, doubles per failure
+  Duration maximum_backoff = std::chrono::seconds(2);          // 2 s
+  Duration draining_recheck = std::chrono::seconds(10);        // 10 s
+  std::size_t finished_limit = 1024;                           // verdicts kept for cancels
+  std::uint64_t seed = 1;                                      // of the retry jitter
 };
 
 // Decides about the work and the connections of one leaf. Performs nothing itself: every call may
@@ -95,10 +91,8 @@
 
   // Requests of fronts.
   void Submit(LeafWork work, TimePoint now);
-  void Cancel(std::uint64_t link,
-              std::uint64_t correlation,
-              std::uint64_t attempt,
-              TimePoint now);
+  void Cancel(std::uint64_t link, std::uint64_t correlation, std::uint64_t attempt, TimePoint now);
+  bool Knows(std::uint64_t link, std::uint64_t attempt) const;  // waits, runs or is remembered
   void DropLink(std::uint64_t link, TimePoint now);  // nobody waits for its work any more
 
   // Rights and state of the leaf.
@@ -108,7 +102,7 @@
   void SetTakenOut(bool taken_out, TimePoint now);  // by the operators' table
   void OnPeerLevel(const LeafLevel& level, TimePoint now);
   void RefuseFingerprint(std::uint64_t fingerprint, TimePoint now);  // drops queued work
-  void Close(TimePoint now);  // the leaf left the topology
+  void Close(TimePoint now);                                         // the leaf left the topology
 
   // Events of connections.
   void Opened(std::uint64_t connection, TimePoint now);
--- /dev/null
+++ b/src/broker/link_duty.h
@@ -0,0 +1,70 @@
+#ifndef IBISHOLD_BROKER_LINK_DUTY_H_
+#define IBISHOLD_BROKER_LINK_DUTY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "broker/messages.h"
+#include "ibishold/broker.h"
+#include "ibishold/net.h"
+
+namespace ibishold {
+
+// Links to fronts and to other brokers. Everything runs on the thread of its io_context.
+class LinkDuty {
+ public:
+  // Returns false if the leaf thread has no room; then the message was not taken.
+  using PushToLeaf = std::function<bool(ToLeaf&&)>;
+
+  LinkDuty(boost::asio::io_context& context, const BrokerOptions& options, PushToLeaf push);
+
+  absl::Status Listen();
+
+  void OnLeafMessage(ToLink message);  // from the leaf thread
+
+  // Refuses new work and tells the fronts.
+  void BeginStop();
+  void Close();
+
+ private:
+  struct FrontLink {
+    std::weak_ptr<FrameLink> link;
+    std::uint64_t id = 0;
+    bool wants_views = false;
+  };
+
+  void OnFrame(FrameLink& link, wire::Frame::Reader frame);
+  void OnClose(FrameLink& link);
+  std::uint64_t IdOf(FrameLink& link);
+  FrameLinkPtr LinkOf(std::uint64_t id);
+
+  // link_frames.cc
+  void OnBatch(FrameLink& link, std::uint64_t correlation, wire::LeafBatch::Reader batch);
+  void OnCancel(FrameLink& link, std::uint64_t correlation, wire::Cancel::Reader cancel);
+  void OnGetView(FrameLink& link, std::uint64_t correlation, wire::GetView::Reader request);
+  void OnGetDocument(FrameLink& link, std::uint64_t correlation, wire::GetDocument::Reader request);
+  void SendAnswer(const AnswerWork& answer);
+  void SendCancelResult(const AnswerCancel& answer);
+  void SendToPeer(const VmId& vm, capnp::MessageBuilder& message);
+  void SendQuarantine(const PeerQuarantine& entry);
+
+  boost::asio::io_context& context;
+  const BrokerOptions& options;
+  PushToLeaf push;
+  LinkServer server;
+  LinkPool pool;
+  bool stopping = false;
+  std::uint64_t last_link = 0;
+  std::uint64_t peer_correlation = 0;
+  Random random;
+  std::unordered_map<const FrameLink*, std::uint64_t> ids;
+  std::unordered_map<std::uint64_t, FrontLink> links;
+  Counter& overflow_refusals;
+};
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_BROKER_LINK_DUTY_H_
--- a/src/policy/leaf_limiter.cc
+++ b/src/policy/leaf_limiter.cc
@@ -25,8 +25,9 @@
 }
 
 std::uint32_t LeafLimiter::abandoned() const {
-  return static_cast<std::uint32_t>(std::count_if(
-      this->calls.begin(), this->calls.end(), [](const auto& call) { return call.second.has_value(); }));
+  return static_cast<std::uint32_t>(
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const auto& call) { return call.second.has_value(); }));
 }
 
 }  // namespace ibishold
--- a/src/policy/service_times.cc
+++ b/src/policy/service_times.cc
@@ -19,7 +19,8 @@
   ++this->samples;
   std::array<Duration, 32> sorted = this->window;
   const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(this->filled / 2);
-  std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(this->filled));
+  std::nth_element(sorted.begin(), middle,
+                   sorted.begin() + static_cast<std::ptrdiff_t>(this->filled));
   this->recent_median = *middle;
   if (this->samples == this->window.size()) {
     this->usual = this->recent_median;
