--- /dev/null
+++ b/include/ibishold/metrics.h
@@ -0,0 +1,139 @@
+#ifndef IBISHOLD_METRICS_H_
+#define IBISHOLD_METRICS_H_
+
+// Counters, gauges and latency histograms of one process, with Prometheus text exposition.
+//
+// Index of this header:
+//   1. Labels          dimensions of a series
+//   2. Counter         number that only grows
+//   3. Gauge           number that goes up and down
+//   4. Latency         histogram with running statistics
+//   5. Metrics         registry; creates series and prints them
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ibishold/core.h"
+
+namespace ibishold {
+
+// ---- 1. Labels ----------------------------------------------------------------------------------
+
+using Labels = std::map<std::string, std::string>;  // name -> value
+
+// ---- 2. Counter ---------------------------------------------------------------------------------
+
+class Counter {
+ public:
+  explicit Counter(prometheus::Counter& counter) : counter(&counter) {}
+
+  void Add(double amount = 1) { this->counter->Increment(amount); }
+  double Value() const { return this->counter->Value(); }
+
+ private:
+  prometheus::Counter* counter;
+};
+
+// ---- 3. Gauge -----------------------------------------------------------------------------------
+
+class Gauge {
+ public:
+  explicit Gauge(prometheus::Gauge& gauge) : gauge(&gauge) {}
+
+  void Set(double value) { this->gauge->Set(value); }
+  double Value() const { return this->gauge->Value(); }
+
+ private:
+  prometheus::Gauge* gauge;
+};
+
+// ---- 4. Latency ---------------------------------------------------------------------------------
+
+struct LatencySummary {
+  std::uint64_t count = 0;  // recorded values
+  double mean_ms = 0;       // ms
+  double max_ms = 0;        // ms
+  double p50_ms = 0;        // ms, estimated (P-square)
+  double p90_ms = 0;        // ms, estimated
+  double p99_ms = 0;        // ms, estimated
+};
+
+// Histogram in seconds with buckets from 0.5 ms to about 16 s, and running statistics since start.
+// Safe to use from any thread.
+class Latency {
+ public:
+  explicit Latency(prometheus::Histogram& histogram);
+
+  void Record(Duration duration);
+  LatencySummary Summary() const;
+
+ private:
+  using Statistics = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::mean,
+                                 boost::accumulators::tag::max,
+                                 boost::accumulators::tag::extended_p_square>>;
+
+  prometheus::Histogram* histogram;
+  mutable std::mutex mutex;
+  Statistics statistics;
+};
+
+// ---- 5. Metrics ---------------------------------------------------------------------------------
+
+struct MetricsOptions {
+  std::size_t series_limit = 200;  // series per name; beyond it values go to the series "other"
+};
+
+// The limit on series bounds memory when callers send many tenant names. References stay valid as
+// long as the registry. Safe to use from any thread; look series up once and keep the reference
+// where a path is hot.
+class Metrics {
+ public:
+  explicit Metrics(MetricsOptions options = {});
+
+  Counter& AddCounter(const std::string& name, const std::string& help, const Labels& labels = {});
+  Gauge& AddGauge(const std::string& name, const std::string& help, const Labels& labels = {});
+  Latency& AddLatency(const std::string& name, const std::string& help, const Labels& labels = {});
+
+  std::string Text() const;                                        // Prometheus text format
+  std::map<std::string, LatencySummary> LatencySummaries() const;  // "name{k=v}" -> summary
+
+ private:
+  template <typename Series>
+  struct Group {
+    std::map<Labels, std::unique_ptr<Series>> series;
+  };
+
+  template <typename Series, typename Make>
+  Series& Lookup(std::map<std::string, Group<Series>>& groups,
+                 const std::string& name,
+                 Labels labels,
+                 const Make& make);
+
+  MetricsOptions options;
+  prometheus::Registry registry;
+  mutable std::mutex mutex;
+  std::map<std::string, Group<Counter>> counters;
+  std::map<std::string, Group<Gauge>> gauges;
+  std::map<std::string, Group<Latency>> latencies;
+};
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_METRICS_H_
--- /dev/null
+++ b/src/daemon/logging.cc
@@ -0,0 +1,36 @@
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logmanager.h>
+
+#include "ibishold/daemon.h"
+
+namespace ibishold {
+
+namespace {
+
+// Set once before the first logger is made, so that it needs no lock.
+std::string& LoggerPrefix() {
+  static std::string prefix;
+  return prefix;
+}
+
+}  // namespace
+
+void ConfigureLogging(const std::string& level, const VmId& vm, const std::string& process) {
+  const auto layout = std::make_shared<log4cxx::JSONLayout>();
+  const log4cxx::AppenderPtr appender =
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  // The logger's name carries process and VM, because log4cxx keeps a context map per thread.
+  LoggerPrefix() = process + "." + vm.value + ".";
+  const auto root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(appender);
+  root->setLevel(log4cxx::Level::toLevel(level));
+}
+
+log4cxx::LoggerPtr GetLogger(const std::string& name) {
+  return log4cxx::Logger::getLogger(LoggerPrefix() + name);
+}
+
+}  // namespace ibishold
