--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -122,6 +122,7 @@
   stale       @3 :Bool;             # this VM may be cut off: start no new leaf work
   quarantined @4 :List(Quarantine);
   successors  @5 :List(Successor);
+  leavingVms  @6 :List(Text);       # by the list or by peers
 }
 
 struct Successor {
@@ -190,9 +191,16 @@
   generation @1 :UInt64;
   hash       @2 :UInt64;
   body       @3 :Data;
+  deflated   @4 :Bool;   # body is a raw deflate stream of the text
+  textBytes  @5 :UInt32; # length of the text
 }
 
-enum VmState { live @0; leaving @1; lost @2; }
+enum VmState {
+  live    @0;
+  leaving @1;
+  lost    @2;   # more than half of its monitors report it silent
+  silent  @3;   # the sender of the heartbeat is a monitor of this VM and has not heard it for 60 s
+}
 
 struct VmFact {
   vm          @0 :Text;
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -90,6 +90,7 @@
   LIVE,
   LEAVING,
   LOST,
+  SILENT,
 };
 CAPNP_DECLARE_ENUM(VmState, cf010e8990f19635);
 CAPNP_DECLARE_SCHEMA(d926ac10624ed024);
@@ -293,7 +294,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e459174e4256a5df, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e459174e4256a5df, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -445,7 +446,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8b5caa209e44b5c, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b8b5caa209e44b5c, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1757,6 +1758,9 @@
   inline bool hasSuccessors() const;
   inline  ::capnp::List< ::ibishold::wire::Successor,  ::capnp::Kind::STRUCT>::Reader getSuccessors() const;
 
+  inline bool hasLeavingVms() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeavingVms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1820,6 +1824,14 @@
   inline void adoptSuccessors(::capnp::Orphan< ::capnp::List< ::ibishold::wire::Successor,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::Successor,  ::capnp::Kind::STRUCT>> disownSuccessors();
 
+  inline bool hasLeavingVms();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLeavingVms();
+  inline void setLeavingVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLeavingVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLeavingVms(unsigned int size);
+  inline void adoptLeavingVms(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeavingVms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2732,6 +2744,10 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getDeflated() const;
+
+  inline  ::uint32_t getTextBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2780,6 +2796,12 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getDeflated();
+  inline void setDeflated(bool value);
+
+  inline  ::uint32_t getTextBytes();
+  inline void setTextBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5168,6 +5190,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool View::Reader::hasLeavingVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool View::Builder::hasLeavingVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader View::Reader::getLeavingVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder View::Builder::getLeavingVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void View::Builder::setLeavingVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void View::Builder::setLeavingVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder View::Builder::initLeavingVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void View::Builder::adoptLeavingVms(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> View::Builder::disownLeavingVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Successor::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5946,6 +6006,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Document::Reader::getDeflated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Document::Builder::getDeflated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Document::Builder::setDeflated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Document::Reader::getTextBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Document::Builder::getTextBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Document::Builder::setTextBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool VmFact::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/control/view_frames.cc
+++ b/src/control/view_frames.cc
@@ -32,6 +32,30 @@
   return true;
 }
 
+// The list with these VMs leaving or lost and all others live. The list itself if it is so already.
+std::shared_ptr<const VmList> WithStates(const std::shared_ptr<const VmList>& list,
+                                         const std::set<VmId>& leaving,
+                                         const std::set<VmId>& lost) {
+  if (!list) {
+    return list;
+  }
+  const auto state_of = [&](const VmId& vm) {
+    if (lost.contains(vm)) {
+      return VmState::kLost;
+    }
+    return leaving.contains(vm) ? VmState::kLeaving : VmState::kLive;
+  };
+  if (std::all_of(list->vms.begin(), list->vms.end(),
+                  [&](const VmEntry& vm) { return vm.state == state_of(vm.id); })) {
+    return list;
+  }
+  auto changed = std::make_shared<VmList>(*list);
+  for (VmEntry& vm : changed->vms) {
+    vm.state = state_of(vm.id);
+  }
+  return changed;
+}
+
 }  // namespace
 
 void WriteGetView(const ControlView* view, wire::GetView::Builder out) {
@@ -62,6 +86,18 @@
   for (const VmId& vm : view.lost_vms) {
     lost.set(index++, vm.value);
   }
+  std::vector<const VmId*> leaving;
+  if (view.vms) {
+    for (const VmEntry& vm : view.vms->vms) {
+      if (vm.state == VmState::kLeaving) {
+        leaving.push_back(&vm.id);
+      }
+    }
+  }
+  auto leaving_out = out.initLeavingVms(static_cast<unsigned>(leaving.size()));
+  for (unsigned i = 0; i < leaving_out.size(); ++i) {
+    leaving_out.set(i, leaving[i]->value);
+  }
   auto successors = out.initSuccessors(static_cast<unsigned>(view.successors.size()));
   index = 0;
   for (const auto& [incarnation, vm] : view.successors) {
@@ -105,9 +141,14 @@
     }
   }
   view->lost_vms.clear();
+  std::set<VmId> leaving;
   for (const auto vm : frame.getLostVms()) {
     view->lost_vms.emplace(std::string(vm.cStr()));
   }
+  for (const auto vm : frame.getLeavingVms()) {
+    leaving.emplace(std::string(vm.cStr()));
+  }
+  view->vms = WithStates(view->vms, leaving, view->lost_vms);
   view->successors.clear();
   for (const auto successor : frame.getSuccessors()) {
     view->successors[successor.getIncarnation()] = VmId(std::string(successor.getVm().cStr()));
--- /dev/null
+++ b/tests/config_store/config_store_test.cc
@@ -0,0 +1,151 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "ibishold/config.h"
+
+namespace ibishold {
+
+namespace {
+
+Document TableDocument(std::uint64_t generation, int weight, const char* state = "in") {
+  return {{std::string(kTableKey), generation, 0},
+          absl::StrCat(R"({"generation":)", generation,
+                       R"(,"rows":[{"service":"depot-desk","data_centre":"bole","state":")", state,
+                       R"(","weight":)", weight, "}]}")};
+}
+
+Document VmsDocument(std::uint64_t generation) {
+  return {{std::string(kVmsKey), generation, 0},
+          absl::StrCat(R"({"generation":)", generation, R"(,"vms":[]})")};
+}
+
+std::uint32_t Weight(const ConfigStore& store) {
+  return store.table()->rows.at(0).weight;
+}
+
+}  // namespace
+
+TEST_CASE("a store applies only what supersedes the document in force") {
+  ConfigStore store;
+  REQUIRE(store.Offer(TableDocument(5, 50)) == OfferResult::kAccepted);
+
+  SUBCASE("a stale read changes nothing") {
+    // Guards against a lagging platform replica that takes an accepted table back.
+    CHECK(store.Offer(TableDocument(4, 40)) == OfferResult::kOlder);
+    CHECK(Weight(store) == 50);
+    CHECK_FALSE(store.Wants({std::string(kTableKey), 4, 1}));
+  }
+  SUBCASE("the same text again is no change") {
+    CHECK(store.Offer(TableDocument(5, 50)) == OfferResult::kKnown);
+    CHECK(store.conflicts() == 0);
+  }
+  SUBCASE("the generation in the text counts, not the one that came with it") {
+    // Guards against a wrong X-Generation header that would freeze the fleet at a high number.
+    Document document = TableDocument(4, 40);
+    document.digest.generation = 900;
+    CHECK(store.Offer(document) == OfferResult::kOlder);
+    CHECK(store.Offer(TableDocument(6, 60)) == OfferResult::kAccepted);
+    CHECK(store.Find(kTableKey)->digest.generation == 6);
+  }
+  SUBCASE("keys are independent") {
+    CHECK(store.Offer(VmsDocument(1)) == OfferResult::kAccepted);
+    CHECK(store.digests().size() == 2);
+    CHECK(store.Offer({{"rows", 9, 0}, "{}"}) == OfferResult::kInvalid);
+  }
+}
+
+TEST_CASE("a VM that restarts beside a stale platform") {
+  ConfigStore store;
+  REQUIRE(store.Offer(TableDocument(3, 30)) == OfferResult::kAccepted);
+  // A peer's newer table replaces what the platform served, and the platform cannot undo it.
+  CHECK(store.Wants({std::string(kTableKey), 7, 1}));
+  CHECK(store.Offer(TableDocument(7, 70)) == OfferResult::kAccepted);
+  CHECK(store.Offer(TableDocument(3, 30)) == OfferResult::kOlder);
+  CHECK(Weight(store) == 70);
+}
+
+TEST_CASE("two operators publish the same generation") {
+  // Guards against a fleet that stays split between two tables.
+  const Document first = TableDocument(5, 10);
+  const Document second = TableDocument(5, 90);
+  const bool first_wins = StableHash(first.text) < StableHash(second.text);
+  const std::uint32_t expected = first_wins ? 10 : 90;
+  ConfigStore one;
+  one.Offer(first);
+  const OfferResult at_one = one.Offer(second);
+  ConfigStore other;
+  other.Offer(second);
+  const OfferResult at_other = other.Offer(first);
+  CHECK(Weight(one) == expected);
+  CHECK(Weight(other) == expected);
+  CHECK(one.conflicts() == 1);
+  CHECK(other.conflicts() == 1);
+  CHECK(at_one == (first_wins ? OfferResult::kConflictKept : OfferResult::kConflictApplied));
+  CHECK(at_other == (first_wins ? OfferResult::kConflictApplied : OfferResult::kConflictKept));
+}
+
+TEST_CASE("an invalid document is refused whole and remembered") {
+  ConfigStore store;
+  store.Offer(TableDocument(5, 50));
+  const Document invalid = TableDocument(6, 120);
+  CHECK(store.Offer(invalid) == OfferResult::kInvalid);
+  CHECK(Weight(store) == 50);
+  REQUIRE(store.refused().size() == 1);
+  CHECK(store.refused().front().reason.find("rows[0].weight: 120") != std::string::npos);
+  // Guards against a refused text that is fetched from every peer again and again.
+  CHECK_FALSE(store.Wants({std::string(kTableKey), 6, StableHash(invalid.text)}));
+  CHECK(store.Offer(invalid) == OfferResult::kInvalid);
+  CHECK(store.refused().size() == 1);
+  // A corrected text may reuse the generation, because the refused one was never in force.
+  CHECK(store.Offer(TableDocument(6, 60)) == OfferResult::kAccepted);
+  for (int i = 0; i < 100; ++i) {
+    store.Offer(TableDocument(7, 200 + i));
+  }
+  CHECK(store.refused().size() == 16);
+}
+
+TEST_CASE("the order of offers never matters and nothing reverts") {
+  // Guards against an acceptance rule that depends on which peer or replica answered first.
+  std::vector<Document> documents;
+  for (std::uint64_t generation = 1; generation <= 12; ++generation) {
+    documents.push_back(TableDocument(generation, static_cast<int>(generation)));
+    if (generation % 3 == 0) {
+      documents.push_back(TableDocument(generation, 50));   // second operator
+      documents.push_back(TableDocument(generation, 101));  // invalid
+    }
+  }
+  ConfigStore reference;
+  for (const Document& document : documents) {
+    reference.Offer(document);
+  }
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    Random random(seed);
+    ConfigStore store;
+    Digest last;
+    std::vector<Document> order = documents;
+    order.insert(order.end(), documents.begin(), documents.end());
+    for (std::size_t i = order.size(); i > 1; --i) {
+      std::swap(order[i - 1], order[random.Below(i)]);
+    }
+    bool reverted = false;
+    for (const Document& document : order) {
+      const OfferResult result = store.Offer(document);
+      const Document* now = store.Find(kTableKey);
+      if (now == nullptr) {
+        continue;
+      }
+      reverted = reverted || (last.generation != 0 && Supersedes(last, now->digest));
+      reverted = reverted || (Applied(result) == (now->digest == last));
+      last = now->digest;
+    }
+    CAPTURE(seed);
+    CHECK_FALSE(reverted);
+    CHECK(last == reference.Find(kTableKey)->digest);
+  }
+}
+
+}  // namespace ibishold
