--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -29,6 +29,7 @@
                             "folder with topology.json and vms.json")(
       "rate", options::value(&load.rate), "requests/s, 50")(
       "seconds", options::value(&load.seconds), "10")("seed", options::value(&load.seed), "1")(
+      "count", options::value(&load.count), "requests after which the load ends early")(
       "deadline-ms", options::value(&load.deadline_ms), "500")(
       "execute-share", options::value(&load.execute_share), "0..1, 0.1")(
       "service", options::value(&load.services), "may repeat; all services")(
--- a/standins/load_run.cc
+++ b/standins/load_run.cc
@@ -84,7 +84,7 @@
   double at_ms = 0;
   for (std::uint64_t number = 0;; ++number) {
     at_ms += -std::log(1 - this->random.Unit()) * 1000 / this->options.rate;
-    if (at_ms >= this->options.seconds * 1000) {
+    if (at_ms >= this->options.seconds * 1000 || number >= this->options.count) {
       break;
     }
     const double wait_ms = at_ms - Since(begin);
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -177,11 +177,11 @@
   namespace options = boost::program_options;
   namespace standin = ibishold::standin;
   std::string address = "127.1.3.1";
-  std::uint16_t port = 9000;
+  std::uint16_t port = 8500;
   std::string documents;
   options::options_description description("standin-platform");
   description.add_options()("address", options::value(&address), "IP address, 127.1.3.1")(
-      "port", options::value(&port), "port, 9000")(
+      "port", options::value(&port), "port, 8500")(
       "documents", options::value(&documents),
       "folder with topology.json, table.json and vms.json to publish at start");
   try {
