--- a/standins/load_run.cc
+++ b/standins/load_run.cc
@@ -60,6 +60,11 @@
       random(options.seed),
       timeline(static_cast<std::size_t>(std::ceil(options.seconds)) + 1) {}
 
+// Part of ids and terms; the seed keeps those of several runs against the same leaves apart.
+std::string LoadRun::Suffix(const Request& request) const {
+  return std::to_string(this->options.seed) + "." + std::to_string(request.number);
+}
+
 LoadRun::Request LoadRun::Draw(std::uint64_t number) {
   Request request;
   request.number = number;
@@ -236,7 +241,7 @@
 
 asio::awaitable<LoadRun::Outcome> LoadRun::Query(const Request& request, std::uint32_t attempt) {
   // A term of its own for each call lets the leaves' records tell whether this call ran.
-  const std::string id = "q" + std::to_string(request.number) + "-" + std::to_string(attempt);
+  const std::string id = "q" + this->Suffix(request) + "-" + std::to_string(attempt);
   const bool crash = !this->options.crash_term.empty() && attempt == 0 &&
                      this->timeline[request.second].offered == 1;
   const std::string term = crash ? this->options.crash_term : id;
@@ -260,7 +265,7 @@
                                                    std::uint32_t attempt,
                                                    std::string& token,
                                                    std::string& operation) {
-  const std::string name = "e" + std::to_string(request.number);
+  const std::string name = "e" + this->Suffix(request);
   const std::string id = name + "-" + std::to_string(attempt);
   if (operation.empty()) {
     // A new id after a truthful "not run", so that a false one shows in the leaves' records.
--- a/standins/load_run.h
+++ b/standins/load_run.h
@@ -16,6 +16,7 @@
 struct LoadOptions {
   double rate = 50;                   // requests/s, Poisson arrivals; 50
   double seconds = 10;                // of offered load; 10
+  std::uint64_t count = UINT64_MAX;   // requests after which the load ends early; no limit
   std::uint64_t seed = 1;             // of arrivals and mixes; 1
   double deadline_ms = 500;           // X-Deadline-Ms; 500
   double execute_share = 0.1;         // share of non-repeatable requests; 0.1
@@ -68,6 +69,7 @@
   };
 
   Request Draw(std::uint64_t number);
+  std::string Suffix(const Request& request) const;
   asio::awaitable<void> Serve(Request request);
   asio::awaitable<Outcome> Query(const Request& request, std::uint32_t attempt);
   asio::awaitable<Outcome> Execute(const Request& request,
