--- a/src/policy/service_times.cc
+++ b/src/policy/service_times.cc
@@ -41,8 +41,8 @@
   for (std::size_t i = 0; i < kShort; ++i) {
     last[i] = this->window[(this->next + this->window.size() - 1 - i) % this->window.size()];
   }
-  std::nth_element(last.begin(), last.begin() + kShort / 2, last.end());
-  const Duration median = last[kShort / 2];
+  std::nth_element(last.begin(), last.begin() + (kShort - 1) / 2, last.end());
+  const Duration median = last[(kShort - 1) / 2];
   return median > this->usual * 4 && median > this->usual + std::chrono::milliseconds(20);
 }
 
--- /dev/null
+++ b/tests/policy/limits_test.cc
@@ -0,0 +1,195 @@
+#include <doctest/doctest.h>
+
+#include "ibishold/policy.h"
+
+namespace ibishold {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr TimePoint kStart{1h};
+constexpr WarmUpShare kPrimary{.primary = true, .primary_slots = 2, .total_slots = 4};
+constexpr WarmUpShare kSecondary{.primary = false, .primary_slots = 2, .total_slots = 4};
+
+void Succeed(WarmUp& warm_up, int times) {
+  for (int i = 0; i < times; ++i) {
+    warm_up.Succeeded(warm_up.stage());
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a call keeps its slot until the leaf cannot be running it") {
+  LeafLimiter limiter;
+  limiter.SetLimit(2);
+  REQUIRE(limiter.Start(1));
+  REQUIRE(limiter.Start(2));
+  CHECK_FALSE(limiter.Start(3));
+  // Guards against cancelled work that piles up at the leaf while new work is sent.
+  limiter.Abandon(1, kStart + 2s);
+  CHECK_FALSE(limiter.Start(3));
+  CHECK(limiter.abandoned() == 1);
+  limiter.Expire(kStart + 1999ms);
+  CHECK_FALSE(limiter.Start(3));
+  SUBCASE("until the time limit") {
+    limiter.Expire(kStart + 2s);
+    CHECK(limiter.Start(3));
+  }
+  SUBCASE("until the leaf confirms") {
+    limiter.Finish(1);
+    CHECK(limiter.Start(3));
+  }
+  SUBCASE("a lower limit starts nothing until enough calls have ended") {
+    limiter.SetLimit(1);
+    limiter.Finish(1);
+    CHECK_FALSE(limiter.Start(3));
+    limiter.Finish(2);
+    CHECK(limiter.Start(3));
+  }
+}
+
+TEST_CASE("warm-up of a leaf") {
+  WarmUp warm_up;
+  warm_up.SetShare(kPrimary);
+  // Guards against an owner that has just started and floods a leaf it knows nothing of.
+  CHECK(warm_up.Allowance() == 1);
+  Succeed(warm_up, 7);
+  CHECK(warm_up.Level().level == 1);
+  Succeed(warm_up, 1);
+  CHECK(warm_up.Level().level == 2);
+
+  SUBCASE("calls started at an earlier level do not raise the level") {
+    const std::uint64_t stage = warm_up.stage();
+    Succeed(warm_up, 8);
+    REQUIRE(warm_up.Level().level == 3);
+    for (int i = 0; i < 20; ++i) {
+      warm_up.Succeeded(stage);
+    }
+    CHECK(warm_up.Level().level == 3);
+  }
+  SUBCASE("one burst of time-outs halves the level once") {
+    Succeed(warm_up, 16);
+    REQUIRE(warm_up.Level().level == 4);
+    const std::uint64_t stage = warm_up.stage();
+    warm_up.TimedOut(stage);
+    warm_up.TimedOut(stage);
+    warm_up.Shed(stage);
+    CHECK(warm_up.Level().level == 2);
+  }
+  SUBCASE("it is warm after eight successes at the highest level") {
+    Succeed(warm_up, 23);
+    CHECK_FALSE(warm_up.is_warm());
+    Succeed(warm_up, 1);
+    CHECK(warm_up.is_warm());
+    CHECK(warm_up.Allowance() == 2);
+    SUBCASE("a changed incarnation is cold evidence") {
+      CHECK_FALSE(warm_up.Observe(5, 1h));
+      CHECK(warm_up.is_warm());
+      CHECK(warm_up.Observe(6, 1s));
+      CHECK(warm_up.Level().level == 1);
+    }
+    SUBCASE("a delayed answer of a former run changes nothing") {
+      warm_up.Observe(6, 1h);
+      CHECK_FALSE(warm_up.Observe(5, 1h));
+      CHECK(warm_up.is_warm());
+    }
+    SUBCASE("an uptime that dropped is cold evidence") {
+      warm_up.Observe(5, 1h);
+      CHECK(warm_up.Observe(5, 1s));
+      CHECK(warm_up.Allowance() == 1);
+    }
+    SUBCASE("time-outs in a row are cold evidence, single ones are not") {
+      for (int i = 0; i < 10; ++i) {
+        warm_up.TimedOut(warm_up.stage());
+        warm_up.Succeeded(warm_up.stage());
+      }
+      CHECK(warm_up.is_warm());
+      for (int i = 0; i < 4; ++i) {
+        warm_up.TimedOut(warm_up.stage());
+      }
+      CHECK_FALSE(warm_up.is_warm());
+    }
+  }
+}
+
+TEST_CASE("two owners share the level of a cold leaf") {
+  WarmUp primary;
+  WarmUp secondary;
+  primary.SetShare(kPrimary);
+  secondary.SetShare(kSecondary);
+  primary.Observe(5, 1h);
+  secondary.Observe(5, 1h);
+  const auto tell = [](WarmUp& from, WarmUp& to) {
+    if (const auto message = from.TakeMessage()) {
+      to.OnPeer(*message);
+    }
+  };
+  // Guards against owners that each allow one call.
+  CHECK(primary.Allowance() + secondary.Allowance() == 1);
+  for (std::uint32_t level = 1; level <= 4; ++level) {
+    CHECK(primary.Level().level == level);
+    tell(primary, secondary);
+    CHECK(primary.Allowance() + secondary.Allowance() == level);
+    Succeed(primary, 8);
+  }
+  tell(primary, secondary);
+  CHECK(secondary.is_warm());
+  CHECK(secondary.Allowance() == 2);
+
+  SUBCASE("the secondary's evidence makes the primary cold") {
+    secondary.Observe(6, 1s);
+    CHECK(secondary.Allowance() == 0);
+    tell(secondary, primary);
+    CHECK(primary.Allowance() == 1);
+  }
+  SUBCASE("a level of a former run does not warm the secondary") {
+    const LeafLevel old = primary.Level();
+    secondary.Observe(6, 1s);
+    secondary.OnPeer(old);
+    CHECK(secondary.Allowance() == 0);
+  }
+  SUBCASE("a primary that knows nothing makes the secondary follow it") {
+    WarmUp fresh;
+    fresh.SetShare(kPrimary);
+    tell(fresh, secondary);
+    CHECK(fresh.Allowance() + secondary.Allowance() == 1);
+  }
+  SUBCASE("a secondary that knows nothing does not make the primary cold") {
+    WarmUp fresh;
+    fresh.SetShare(kSecondary);
+    tell(fresh, primary);
+    CHECK(primary.is_warm());
+    tell(primary, fresh);
+    CHECK(fresh.Allowance() == 2);
+  }
+  SUBCASE("a promoted secondary starts the ramp again unless the leaf is warm") {
+    WarmUp follower;
+    follower.SetShare(kSecondary);
+    follower.OnPeer({.incarnation = 5, .level = 3});
+    REQUIRE(follower.Allowance() == 1);
+    follower.SetShare(kPrimary);
+    CHECK(follower.Level().level == 1);
+    secondary.SetShare(kPrimary);
+    CHECK(secondary.is_warm());
+  }
+}
+
+TEST_CASE("latency far above its own history") {
+  // Guards against a leaf that became cold without a restart.
+  ServiceTimes times;
+  Random random(3);
+  for (int i = 0; i < 200; ++i) {
+    times.Record(random.Jitter(8ms, 0.5));
+    CHECK_FALSE(times.FarAboveHistory());
+  }
+  for (int i = 0; i < 4; ++i) {
+    times.Record(100ms);
+  }
+  CHECK_FALSE(times.FarAboveHistory());
+  for (int i = 0; i < 4; ++i) {
+    times.Record(100ms);
+  }
+  CHECK(times.FarAboveHistory());
+}
+
+}  // namespace ibishold
