--- a/src/broker/leaf_connections.cc
+++ b/src/broker/leaf_connections.cc
@@ -33,6 +33,7 @@
     ++this->counters.late_answers;
     return;
   }
+  this->heard_at = now;
   Connection& connection = found->second;
   const ConnectionState state = std::exchange(connection.state, ConnectionState::kIdle);
   const std::uint64_t call = std::exchange(connection.call, 0);
@@ -155,19 +156,28 @@
     this->connections.emplace(id, Connection{});
     this->actions.emplace_back(OpenConnection{.connection = id});
   }
-  // One at a time, so that verifications never hold up work.
-  const bool verifying = std::any_of(
-      this->connections.begin(), this->connections.end(),
-      [](const auto& entry) { return entry.second.state == ConnectionState::kVerifying; });
-  if (verifying) {
-    return;
-  }
-  for (auto& [id, connection] : this->connections) {
-    if (connection.state == ConnectionState::kIdle &&
-        now - connection.verified_at >= this->options.verify_interval) {
-      this->Verify(id, now);
+  this->VerifyOldest(now);
+}
+
+// One at a time, so that verifications never hold up work. A leaf that this owner does not use
+// would otherwise drain or restart unnoticed.
+void LeafDispatcher::VerifyOldest(TimePoint now) {
+  std::optional<std::uint64_t> oldest;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.state == ConnectionState::kVerifying) {
       return;
     }
+    if (connection.state == ConnectionState::kIdle &&
+        (!oldest || connection.verified_at < this->connections.at(*oldest).verified_at)) {
+      oldest = id;
+    }
+  }
+  if (!oldest) {
+    return;
+  }
+  const Duration age = now - this->connections.at(*oldest).verified_at;
+  if (age >= this->options.verify_interval || now - this->heard_at >= this->options.hear_interval) {
+    this->Verify(*oldest, now);
   }
 }
 
--- a/src/broker/leaf_dispatcher.h
+++ b/src/broker/leaf_dispatcher.h
@@ -73,7 +73,8 @@
   WarmUpOptions warm_up;                                       // see WarmUpOptions
   Duration occupied_after_deadline = std::chrono::seconds(2);  // 2 s
   Duration silent_after_deadline = std::chrono::seconds(1);    // 1 s
-  Duration verify_interval = std::chrono::seconds(5);          // 5 s for idle connections
+  Duration verify_interval = std::chrono::seconds(5);          // 5 s for each idle connection
+  Duration hear_interval = std::chrono::seconds(2);            // 2 s without any answer: verify one
   Duration verify_limit = std::chrono::seconds(1);             // 1 s for the answer
   Duration fresh_limit = std::chrono::seconds(1);              // 1 s, for executes
   Duration minimum_backoff = std::chrono::milliseconds(50);    // 50 ms, doubles per failure
@@ -147,6 +148,7 @@
     std::uint64_t stage = 0;       // of the warm-up
     Incarnation incarnation = 0;   // of the leaf when it was sent
     TimePoint sent_at{};
+    bool reported = false;  // as a suspect
     bool answered = false;  // the front has been told or does not wait
   };
 
@@ -176,6 +178,7 @@
   std::size_t ConnectionTarget(TimePoint now) const;
   std::optional<std::uint64_t> PickConnection(bool execute, TimePoint now);
   void Verify(std::uint64_t id, TimePoint now);
+  void VerifyOldest(TimePoint now);
   void SendCancels(TimePoint now);
   void CloseOwn(std::uint64_t id);
   void CloseIdle();
@@ -201,6 +204,7 @@
   bool unreachable = false;
   Duration backoff{};
   TimePoint open_after{};
+  TimePoint heard_at{};       // last answer of any kind
   std::uint64_t last_id = 0;  // of calls and connections
   std::uint64_t counted_cold = 0;
   std::unordered_map<std::uint64_t, LeafWork> waiting;
--- a/src/broker/leaf_running.cc
+++ b/src/broker/leaf_running.cc
@@ -145,8 +145,9 @@
 
 void LeafDispatcher::ReportRunning() {
   ReportSuspects report;
-  for (const auto& [call, entry] : this->running) {
-    if (!entry.answered) {
+  for (auto& [call, entry] : this->running) {
+    // A cancelled attempt may have crashed the leaf as well as one that is waited for.
+    if (!std::exchange(entry.reported, true)) {
       report.fingerprints.push_back(entry.work.fingerprint);
     }
   }
--- a/tests/broker/sim.h
+++ b/tests/broker/sim.h
@@ -102,7 +102,9 @@
   std::set<WirePtr> wires;
   std::uint32_t most = 0;       // running at a time
   std::uint32_t overloads = 0;  // starts beyond the capacity
-  std::uint32_t work_while_draining = 0;
+  bool out = false;             // taken out by operators
+  std::uint32_t unwanted = 0;   // work received while draining or out
+  TimePoint last_unwanted{};
   unsigned forced_status = 0;  // answered to all work instead of running it
   bool swap_ids = false;       // answers with another request's id
 };
@@ -192,7 +194,6 @@
   std::uint32_t slots = 0;
   bool alive = true;
   bool frozen = false;
-  bool drop_ticks = false;
   std::weak_ptr<Broker> peer;
   TimePoint last_told{};
   std::uint64_t ticks = 0;
@@ -202,6 +203,7 @@
   std::map<std::uint64_t, int> answer_count;
   std::map<std::uint64_t, Verdict> cancels;
   std::vector<std::uint64_t> suspects;
+  std::map<std::uint64_t, std::vector<std::string>> carried;  // by connection, in order
   std::vector<std::string> sent;  // ids of searches and executes, in order
 };
 
@@ -222,7 +224,10 @@
     this->Reply(wire, reply, call.id);
     return;
   }
-  this->work_while_draining += this->draining ? 1 : 0;
+  if (this->draining || this->out) {
+    this->last_unwanted = this->world.now;
+    ++this->unwanted;
+  }
   if (this->forced_status != 0) {
     reply.status = this->forced_status;
     this->Reply(wire, reply, call.id);
@@ -333,6 +338,7 @@
   } else if (const auto* call = std::get_if<CallLeaf>(&action)) {
     if (call->call.kind == LeafCallKind::kSearch || call->call.kind == LeafCallKind::kExecute) {
       this->sent.push_back(call->call.id);
+      this->carried[call->connection].push_back(call->call.id);
     }
     const auto found = this->wires.find(call->connection);
     if (found == this->wires.end()) {
