Add the operators' command with check, table, status and explain

A table is checked by its text alone; unknown names and lost coverage are warnings with an exit code of their own.

--- /dev/null
+++ b/cli/command_options.h
@@ -0,0 +1,61 @@
+#ifndef CLI_COMMAND_OPTIONS_H_
+#define CLI_COMMAND_OPTIONS_H_
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "absl/status/status.h"
+#include "commands.h"
+
+namespace ibishold {
+
+// Parses the options of one command. An exit code is set when help was asked for or a mistake
+// found.
+struct CommandOptions {
+  boost::program_options::options_description description;
+  boost::program_options::positional_options_description positional;
+  boost::program_options::variables_map values;
+  std::string usage;  // one line, and what follows the options in the help text
+  std::string notes;
+
+  CommandOptions(std::string usage, std::string notes)
+      : usage(std::move(usage)), notes(std::move(notes)) {
+    this->description.add_options()("help", "show this help and exit");
+  }
+
+  std::optional<int> Parse(const Arguments& arguments) {
+    namespace program_options = boost::program_options;
+    try {
+      program_options::store(program_options::command_line_parser(arguments)
+                                 .options(this->description)
+                                 .positional(this->positional)
+                                 .run(),
+                             this->values);
+      if (this->values.count("help") != 0) {
+        std::cout << "Usage: " << this->usage << "\n" << this->description << this->notes;
+        return kExitOk;
+      }
+      program_options::notify(this->values);
+    } catch (const program_options::error& error) {
+      return this->Mistake(error.what());
+    }
+    return std::nullopt;
+  }
+
+  int Mistake(const std::string& message) const {
+    std::cerr << "ibishold: " << message << "\nUsage: " << this->usage << "\n";
+    return kExitUsage;
+  }
+};
+
+// Prints the error and gives the exit code for it.
+inline int ReportError(const absl::Status& status) {
+  std::cerr << "ibishold: " << status.message() << "\n";
+  return status.code() == absl::StatusCode::kInvalidArgument ? kExitRefused : kExitNoAnswer;
+}
+
+}  // namespace ibishold
+
+#endif  // CLI_COMMAND_OPTIONS_H_
--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,27 @@
+#ifndef CLI_COMMANDS_H_
+#define CLI_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+// Commands of the operators' program. Each takes the arguments after its name, prints to standard
+// output, prints mistakes to standard error and returns an exit code.
+
+namespace ibishold {
+
+inline constexpr int kExitOk = 0;        // done; nothing to report
+inline constexpr int kExitRefused = 1;   // document refused, or the fleet is not as it should be
+inline constexpr int kExitUsage = 2;     // mistake on the command line
+inline constexpr int kExitNoAnswer = 3;  // platform or VM could not be read
+inline constexpr int kExitWarning = 4;   // accepted, but coverage drops or the base is stale
+
+using Arguments = std::vector<std::string>;
+
+int RunCheck(const Arguments& arguments);
+int RunTable(const Arguments& arguments);
+int RunStatus(const Arguments& arguments);
+int RunExplain(const Arguments& arguments);
+
+}  // namespace ibishold
+
+#endif  // CLI_COMMANDS_H_
--- a/include/ibishold/config.h
+++ b/include/ibishold/config.h
@@ -149,6 +149,38 @@
   std::string text;  // JSON as published
 };
 
+// ---- 6. Operators -------------------------------------------------------------------------------
+
+// Comma-separated text, one row per service and data centre below a heading line with the names of
+// the columns: service,data_centre,state,weight,max_in_flight,rate_limit,queue_limit,hedge.
+std::string TableToCsv(const Table& table);
+
+// Errors: InvalidArgument with row (the heading is row 1) and column, for example
+// "row 4, column weight: 120 is outside 0..100". generation and base are left at 0.
+absl::StatusOr<Table> TableFromCsv(std::string_view csv);
+
+// What a new table changes for one service.
+struct ServiceEffect {
+  ServiceName service;
+  std::uint32_t slots_before = 0;    // slots of leaves that take work
+  std::uint32_t slots_after = 0;     // the same under the new table
+  std::vector<ShardId> shards_lost;  // without any leaf that takes work, only after the change
+  std::vector<std::string> changed_fields;  // "bole: weight 100 -> 50"
+};
+
+// Effects on the services whose rows differ, and on those whose slots differ.
+std::vector<ServiceEffect> ExplainChange(const Table& before,
+                                         const Table& after,
+                                         const Topology& topology);
+
+// Rows that name a service or data centre which the topology does not have, and services without
+// any row in a data centre where they have leaves ("rows[2]: no service wash-lin"). Warnings only:
+// acceptance depends on the table alone.
+std::vector<std::string> TableWarnings(const Table& table, const Topology& topology);
+
+// True if leaves of the service in the data centre take new work (state in and weight above 0).
+bool TakesWork(const Table& table, const ServiceName& service, const DataCentre& data_centre);
+
 // ---- 7. ControlView -----------------------------------------------------------------------------
 
 // One consistent view of the documents and the peers. Immutable once shared.
