--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -31,7 +31,7 @@
     """All processes of one deployment at its stated size. Use it as a context manager."""
 
     def __init__(self, name, network="127.1", folder=None, leaf_options=None, warm=True, seed=1, front=None,
-                 broker=None, hedge=True, environment=None):
+                 broker=None, hedge=True, environment=None, forward_platform=False):
         self.name = name
         self.network = network
         self.folder = pathlib.Path(folder or BUILD / "run" / f"{name}-{network}")
@@ -42,6 +42,7 @@
         self.overrides = {"front": front or {}, "broker": broker or {}}
         self.hedge = hedge
         self.environment = environment or {}
+        self.forward_platform = forward_platform  # VMs reach the platform through standin-forwarder
         self.processes = {}  # by name: Popen
         self.logs = []
         self.problems = []  # processes that had to be killed or failed
@@ -130,6 +131,8 @@
             settings = json.loads((self.config / f"{vm}.json").read_text())
             settings["front"].update(self.overrides["front"])
             settings["broker"].update(self.overrides["broker"])
+            if self.forward_platform:
+                settings["platform"]["address"] = f"{self.network}.3.2"
             (self.config / f"{vm}.json").write_text(json.dumps(settings))
         if not self.hedge:
             table = self.document("table")
@@ -138,6 +141,10 @@
             (self.config / "table.json").write_text(json.dumps(table))
         self.spawn("platform", BUILD / "standins" / "standin-platform", "--address", f"{self.network}.3.1",
                    "--port", PLATFORM_PORT, "--documents", self.config)
+        if self.forward_platform:
+            self.spawn("forwarder", BUILD / "standins" / "standin-forwarder",
+                       "--listen", f"{self.network}.3.2:{PLATFORM_PORT}", "--to", f"{self.network}.3.1:{PLATFORM_PORT}",
+                       "--admin", f"{self.network}.3.2:9200")
         for index, centre in enumerate(self.centres()):
             command = [BUILD / "standins" / "standin-leaf", "--topology", self.config / "topology.json",
                        "--data-centre", centre, "--admin-address", f"{self.network}.2.{index + 1}",
