--- /dev/null
+++ b/include/ibishold/front.h
@@ -0,0 +1,204 @@
+#ifndef IBISHOLD_FRONT_H_
+#define IBISHOLD_FRONT_H_
+
+// The front: callers' requests to leaf requests and back to one answer.
+//
+// Index of this header:
+//   1. Requests        what callers ask and what they get
+//   2. Events          what brokers report
+//   3. Actions         what the front asks its environment to do
+//   4. FrontOptions    limits and margins
+//   5. FrontCounters   what happened so far
+//   6. FrontCore       all decisions of the front; no clock, no socket
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ibishold/config.h"
+#include "ibishold/core.h"
+#include "ibishold/request_policy.h"
+#include "ibishold/snapshot.h"
+#include "schema/ibishold.capnp.h"
+
+namespace ibishold {
+
+// ---- 1. Requests --------------------------------------------------------------------------------
+
+enum class RequestKind : std::uint8_t {
+  kQuery,    // repeatable, fans out to all shards
+  kExecute,  // non-repeatable, one shard
+};
+
+struct CallerRequest {
+  std::uint64_t ticket = 0;  // names the waiting caller, unique per process
+  RequestKind kind = RequestKind::kQuery;
+  ServiceName service;
+  TenantName tenant;
+  RequestClass request_class = RequestClass::kStandard;
+  std::string request_id;
+  std::string token;      // Idempotency-Key; execute only, may be empty
+  std::uint64_t key = 0;  // record key; execute only
+  std::string body;       // JSON of the query or the operation
+  TimePoint deadline{};
+};
+
+struct CallerAnswer {
+  std::uint64_t ticket = 0;
+  int status = 200;  // HTTP status
+  Verdict verdict = Verdict::kRan;
+  std::string body;        // JSON
+  Duration retry_after{};  // 0: none
+  std::string new_token;   // header Idempotency-Key; empty: none
+};
+
+// JSON body of a refusal, as docs/api.md describes it.
+std::string RefusalBody(std::string_view error,
+                        std::string_view message,
+                        Verdict verdict,
+                        Duration retry_after);
+
+// ---- 2. Events ----------------------------------------------------------------------------------
+
+// Answer of a broker for one attempt.
+struct LeafReply {
+  std::uint64_t attempt = 0;
+  wire::Outcome outcome = wire::Outcome::OK;
+  Verdict verdict = Verdict::kRan;
+  bool complete = false;                      // as stated by the leaf
+  std::string records;                        // JSON as sent by the leaf
+  Snapshot stated;                            // by the leaf; zeros if it said nothing
+  std::vector<std::uint64_t> index_versions;  // all that the leaf holds; empty if it said nothing
+  Duration retry_after{};
+  std::string message;
+};
+
+// ---- 3. Actions ---------------------------------------------------------------------------------
+
+struct LeafCall {
+  std::uint64_t attempt = 0;  // unique per run of the front
+  LeafId leaf;
+  ShardId shard;
+  bool hedge = false;
+};
+
+// One frame to one broker.
+struct SendBatch {
+  VmId broker;
+  std::uint64_t batch = 0;  // correlation of the frame, unique per run of the front
+  RequestKind kind = RequestKind::kQuery;
+  std::string request_id;
+  ServiceName service;
+  TenantName tenant;
+  RequestClass request_class = RequestClass::kStandard;
+  TimePoint deadline{};
+  Snapshot snapshot;
+  std::uint64_t fingerprint = 0;            // of service and body
+  std::shared_ptr<const std::string> body;  // JSON of the query or the operation
+  std::vector<LeafCall> calls;
+};
+
+struct SendCancel {
+  VmId broker;
+  std::uint64_t batch = 0;
+  std::vector<std::uint64_t> attempts;
+  bool whole_batch = false;  // true: the frame may be removed if it has not been written yet
+};
+
+struct Reply {
+  CallerRequest request;  // without body
+  CallerAnswer answer;
+  Duration latency{};  // since the request was taken in
+};
+
+using FrontAction = std::variant<SendBatch, SendCancel, Reply>;
+
+// ---- 4. FrontOptions ----------------------------------------------------------------------------
+
+struct FrontOptions {
+  VmId vm;
+  DataCentre data_centre;
+  std::uint64_t seed = 1;
+  Duration minimum_deadline = std::chrono::milliseconds(2);  // less time left: refused at once
+  Duration answer_margin = std::chrono::milliseconds(10);    // kept for the way back to the caller
+  double answer_margin_share = 0.05;                         // if that is less than 10 ms
+  Duration default_hedge_delay = std::chrono::milliseconds(50);  // while a leaf has no quantile
+  Duration minimum_hedge_delay = std::chrono::milliseconds(1);
+  double hedge_quantile = 0.95;
+  std::uint32_t attempts_per_shard = 4;                      // all kinds together
+  std::uint32_t route_waits = 3;                             // waits for a reachable owner
+  Duration route_wait = std::chrono::milliseconds(20);       // 20 ms each
+  Duration broker_backoff = std::chrono::milliseconds(100);  // not chosen after a failed send
+  Duration attempt_memory = std::chrono::seconds(2);         // past the deadline
+  std::size_t request_limit = 8192;                          // requests in progress; more: 503
+  SnapshotTrackerOptions snapshot;
+  LatencyTrackerOptions latency;
+  AdmissionOptions admission;
+  TrafficSharesOptions shares;
+  RatioBudgetOptions hedge_budget = {.share = 0.04, .maximum = 50};
+  RatioBudgetOptions retry_budget = {.share = 0.05, .initial = 10};
+};
+
+// ---- 5. FrontCounters ---------------------------------------------------------------------------
+
+struct FrontCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answers_full = 0;
+  std::uint64_t answers_partial = 0;
+  std::uint64_t refusals = 0;
+  std::uint64_t leaf_attempts = 0;  // all, with hedges and retries
+  std::uint64_t hedges = 0;
+  std::uint64_t hedge_wins = 0;
+  std::uint64_t retries = 0;   // from the retry budget
+  std::uint64_t reroutes = 0;  // of attempts that had not run
+  std::uint64_t replans = 0;
+  std::uint64_t cancels = 0;
+  std::uint64_t late_replies = 0;   // of unknown or given-up attempts
+  std::uint64_t other_version = 0;  // answers that stated another snapshot
+  std::uint64_t malformed = 0;
+  std::uint64_t abandoned = 0;  // callers that left
+};
+
+// ---- 6. FrontCore -------------------------------------------------------------------------------
+
+class Dispatcher;
+class QueryEngine;
+
+// Every call takes the time and may leave actions, which the environment takes and carries out.
+class FrontCore {
+ public:
+  explicit FrontCore(FrontOptions options);
+  ~FrontCore();
+  FrontCore(const FrontCore&) = delete;
+  FrontCore& operator=(const FrontCore&) = delete;
+
+  void SetView(ControlViewPtr view, TimePoint now);
+  void OnRequest(CallerRequest request, TimePoint now);
+  void OnAbandoned(std::uint64_t ticket, TimePoint now);  // the caller left
+  void OnLeafReply(const VmId& broker, LeafReply reply, TimePoint now);
+  void OnCancelResult(std::uint64_t attempt, Verdict verdict, TimePoint now);
+  void OnNotSent(const SendBatch& batch, TimePoint now);  // none of its bytes was sent
+  void OnLinkLost(const VmId& broker, TimePoint now);
+  void OnTimer(TimePoint now);
+
+  std::optional<TimePoint> NextTimer() const;
+  std::vector<FrontAction> TakeActions();
+
+  const FrontCounters& counters() const;
+  std::size_t requests_in_progress() const;
+  std::size_t attempts_outstanding() const;
+  // JSON object for /debug/state.
+  std::string DebugState(TimePoint now) const;
+
+ private:
+  FrontOptions options;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<QueryEngine> queries;
+};
+
+}  // namespace ibishold
+
+#endif  // IBISHOLD_FRONT_H_
--- /dev/null
+++ b/src/front/front_core.cc
@@ -0,0 +1,144 @@
+#include <boost/json.hpp>
+#include <utility>
+
+#include "front/dispatcher.h"
+#include "front/query_engine.h"
+#include "ibishold/front.h"
+
+namespace ibishold {
+
+namespace json = boost::json;
+
+FrontCore::FrontCore(FrontOptions front_options)
+    : options(std::move(front_options)),
+      dispatcher(std::make_unique<Dispatcher>(this->options)),
+      queries(std::make_unique<QueryEngine>(this->options, *this->dispatcher)) {}
+
+FrontCore::~FrontCore() = default;
+
+void FrontCore::SetView(ControlViewPtr view, TimePoint now) {
+  this->dispatcher->SetView(std::move(view), now);
+}
+
+void FrontCore::OnRequest(CallerRequest request, TimePoint now) {
+  ++this->dispatcher->counters.requests;
+  this->queries->Start(std::move(request), now);
+}
+
+void FrontCore::OnAbandoned(std::uint64_t ticket, TimePoint now) {
+  this->queries->Abandon(ticket, now);
+}
+
+void FrontCore::OnLeafReply(const VmId& broker, LeafReply reply, TimePoint now) {
+  const Attempt* known = this->dispatcher->Find(reply.attempt);
+  if (known == nullptr || known->broker != broker) {
+    ++this->dispatcher->counters.late_replies;
+    return;
+  }
+  const std::optional<Attempt> attempt = this->dispatcher->Take(reply.attempt);
+  if (!reply.index_versions.empty()) {
+    this->dispatcher->tracker.Learn({.leaf = attempt->leaf,
+                                     .index_versions = reply.index_versions,
+                                     .map_version = reply.stated.partition_map_version,
+                                     .asked_at = attempt->sent_at});
+  }
+  if (reply.outcome == wire::Outcome::UNREACHABLE || reply.outcome == wire::Outcome::LEAF_LOST) {
+    this->dispatcher->tracker.Unreachable(attempt->leaf, now);
+  }
+  this->queries->OnReply(*attempt, reply, now);
+}
+
+void FrontCore::OnCancelResult(std::uint64_t id, Verdict verdict, TimePoint now) {
+  (void)now;
+  const Attempt* known = this->dispatcher->Find(id);
+  if (known == nullptr) {
+    return;
+  }
+  // A request that had been sent stays known: its answer frees the slot and is counted as late.
+  if (verdict != Verdict::kNotRun) {
+    this->queries->OnGivenUp(*known, verdict);
+    return;
+  }
+  const std::optional<Attempt> attempt = this->dispatcher->Take(id);
+  this->queries->OnGivenUp(*attempt, verdict);
+}
+
+void FrontCore::OnNotSent(const SendBatch& batch, TimePoint now) {
+  this->dispatcher->BrokerFailed(batch.broker, now);
+  for (const LeafCall& call : batch.calls) {
+    const std::optional<Attempt> attempt = this->dispatcher->Take(call.attempt);
+    if (!attempt) {
+      continue;
+    }
+    LeafReply reply;
+    reply.attempt = call.attempt;
+    reply.outcome = wire::Outcome::UNREACHABLE;
+    reply.verdict = Verdict::kNotRun;
+    this->queries->OnReply(*attempt, reply, now);
+  }
+}
+
+void FrontCore::OnLinkLost(const VmId& broker, TimePoint now) {
+  this->dispatcher->BrokerFailed(broker, now);
+  for (const std::uint64_t id : this->dispatcher->AttemptsAt(broker)) {
+    const std::optional<Attempt> attempt = this->dispatcher->Take(id);
+    if (!attempt) {
+      continue;
+    }
+    LeafReply reply;
+    reply.attempt = id;
+    reply.outcome = wire::Outcome::LEAF_LOST;
+    reply.verdict = Verdict::kMayHaveRun;
+    this->queries->OnReply(*attempt, reply, now);
+  }
+}
+
+void FrontCore::OnTimer(TimePoint now) {
+  while (const std::optional<Timer> timer = this->dispatcher->timers.PopDue(now)) {
+    if (timer->kind == TimerKind::kAttempt) {
+      if (const std::optional<Attempt> attempt = this->dispatcher->Take(timer->id)) {
+        this->queries->OnGivenUp(*attempt, Verdict::kMayHaveRun);
+      }
+      continue;
+    }
+    this->queries->OnTimer(*timer, now);
+  }
+}
+
+std::optional<TimePoint> FrontCore::NextTimer() const {
+  return this->dispatcher->timers.Next();
+}
+
+std::vector<FrontAction> FrontCore::TakeActions() {
+  return this->dispatcher->TakeActions();
+}
+
+const FrontCounters& FrontCore::counters() const {
+  return this->dispatcher->counters;
+}
+
+std::size_t FrontCore::requests_in_progress() const {
+  return this->queries->size();
+}
+
+std::size_t FrontCore::attempts_outstanding() const {
+  return this->dispatcher->attempt_count();
+}
+
+std::string FrontCore::DebugState(TimePoint now) const {
+  (void)now;
+  const ControlViewPtr& view = this->dispatcher->view();
+  json::object state{{"requests_in_progress", this->requests_in_progress()},
+                     {"attempts_outstanding", this->attempts_outstanding()},
+                     {"hedge_budget", this->queries->hedge_budget().balance()},
+                     {"retry_budget", this->queries->retry_budget().balance()}};
+  if (view) {
+    state["topology_generation"] = view->topology ? view->topology->generation : 0;
+    state["partition_map_version"] = view->topology ? view->topology->partition_map_version : 0;
+    state["table_generation"] = view->table ? view->table->generation : 0;
+    state["vms_generation"] = view->vms ? view->vms->generation : 0;
+  }
+  return json::serialize(state);
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/src/front/timer_queue.h
@@ -0,0 +1,55 @@
+#ifndef SRC_FRONT_TIMER_QUEUE_H_
+#define SRC_FRONT_TIMER_QUEUE_H_
+
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <vector>
+
+#include "ibishold/core.h"
+
+namespace ibishold {
+
+enum class TimerKind : std::uint8_t {
+  kAnswer,   // the request must be answered now
+  kHedge,    // a shard may be asked a second time
+  kRoute,    // a shard without a reachable owner is tried again
+  kAttempt,  // an attempt without any answer is forgotten
+};
+
+struct Timer {
+  TimePoint at{};
+  TimerKind kind = TimerKind::kAnswer;
+  std::uint64_t id = 0;     // request or attempt
+  std::uint32_t epoch = 0;  // plan of the request
+  std::size_t shard = 0;
+};
+
+// Timers are never removed; their owners ignore the ones that no longer apply.
+class TimerQueue {
+ public:
+  void Add(const Timer& timer) { this->timers.push(timer); }
+
+  std::optional<TimePoint> Next() const {
+    return this->timers.empty() ? std::nullopt : std::optional(this->timers.top().at);
+  }
+
+  std::optional<Timer> PopDue(TimePoint now) {
+    if (this->timers.empty() || this->timers.top().at > now) {
+      return std::nullopt;
+    }
+    Timer timer = this->timers.top();
+    this->timers.pop();
+    return timer;
+  }
+
+ private:
+  struct Later {
+    bool operator()(const Timer& a, const Timer& b) const { return a.at > b.at; }
+  };
+  std::priority_queue<Timer, std::vector<Timer>, Later> timers;
+};
+
+}  // namespace ibishold
+
+#endif  // SRC_FRONT_TIMER_QUEUE_H_
--- /dev/null
+++ b/src/request_policy/admission.cc
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+#include "ibishold/request_policy.h"
+
+namespace ibishold {
+
+namespace {
+
+std::string KeyOf(const ServiceName& service, const TenantName& tenant) {
+  return absl::StrCat(service.value, "\n", tenant.value);
+}
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e9));
+}
+
+double ToSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e9;
+}
+
+}  // namespace
+
+Admission::Admission(AdmissionOptions options, std::uint64_t seed)
+    : options(options), random(seed) {}
+
+AdmissionResult Admission::Admit(const ServiceName& service,
+                                 const TenantName& tenant,
+                                 RequestClass request_class,
+                                 const TableRow& limits,
+                                 TimePoint now) {
+  const auto rank = static_cast<std::size_t>(request_class);
+  ServiceLoad& load = this->services[service.value];
+  const std::string key = KeyOf(service, tenant);
+  TenantLoad& own = this->TenantOf(key, service, limits, now);
+  own.last_request = now;
+
+  const double limit = limits.max_in_flight;
+  if (load.in_flight + 1 > std::max(1.0, limit * this->options.class_share[rank])) {
+    return {.refusal = Refusal::kInFlight, .retry_after = this->RetryAfter(load)};
+  }
+  if (own.in_flight + 1 > std::max(1.0, limit * this->options.tenant_share) &&
+      this->OtherTenantActive(key, service, now)) {
+    return {.refusal = Refusal::kTenantInFlight, .retry_after = this->RetryAfter(load)};
+  }
+  const double rate = limits.rate_limit;
+  const double burst = std::max(1.0, rate * ToSeconds(this->options.burst));
+  const double needed = 1 + (burst - 1) * this->options.rate_reserve[rank];
+  if (own.tokens < needed) {
+    const Duration wait = FromSeconds((needed - own.tokens) / rate);
+    return {.refusal = Refusal::kRate,
+            .retry_after = std::clamp(this->random.Jitter(wait, 0.2), this->options.minimum_retry,
+                                      this->options.maximum_retry)};
+  }
+  own.tokens -= 1;
+  ++own.in_flight;
+  ++load.in_flight;
+  return {.admitted = true};
+}
+
+void Admission::Done(const ServiceName& service, const TenantName& tenant, TimePoint now) {
+  const auto found = this->tenants.find(KeyOf(service, tenant));
+  if (found != this->tenants.end() && found->second.in_flight > 0) {
+    --found->second.in_flight;
+  }
+  ServiceLoad& load = this->services[service.value];
+  if (load.in_flight > 0) {
+    --load.in_flight;
+  }
+  // Rate over about the last second: the weight of a sample grows with the time that it stands for.
+  const double gap = std::max(1e-6, ToSeconds(now - load.last_completion));
+  const double weight = load.last_completion == TimePoint{} ? 0 : 1 - std::exp(-gap);
+  load.completions_per_second += weight * (1 / gap - load.completions_per_second);
+  load.last_completion = now;
+}
+
+std::uint32_t Admission::InFlight(const ServiceName& service) const {
+  const auto found = this->services.find(service.value);
+  return found == this->services.end() ? 0 : found->second.in_flight;
+}
+
+Admission::TenantLoad& Admission::TenantOf(const std::string& key,
+                                           const ServiceName& service,
+                                           const TableRow& limits,
+                                           TimePoint now) {
+  const double burst = std::max(1.0, limits.rate_limit * ToSeconds(this->options.burst));
+  const auto found = this->tenants.find(key);
+  if (found != this->tenants.end()) {
+    TenantLoad& own = found->second;
+    own.tokens =
+        std::min(burst, own.tokens + ToSeconds(now - own.last_request) * limits.rate_limit);
+    return own;
+  }
+  if (this->tenants.size() >= this->options.tenant_limit) {
+    // Tenants with requests in flight are kept, or their counts would be lost.
+    auto oldest = this->tenants.end();
+    for (auto entry = this->tenants.begin(); entry != this->tenants.end(); ++entry) {
+      if (entry->second.in_flight == 0 &&
+          (oldest == this->tenants.end() ||
+           entry->second.last_request < oldest->second.last_request)) {
+        oldest = entry;
+      }
+    }
+    if (oldest != this->tenants.end()) {
+      this->tenants.erase(oldest);
+    }
+  }
+  return this->tenants[key] = {.service = service.value, .tokens = burst, .last_request = now};
+}
+
+bool Admission::OtherTenantActive(const std::string& key,
+                                  const ServiceName& service,
+                                  TimePoint now) const {
+  for (const auto& [other, load] : this->tenants) {
+    if (other != key && load.service == service.value &&
+        now - load.last_request < this->options.tenant_memory) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Queue length divided by the measured drain rate, with jitter so that refused callers do not
+// return together.
+Duration Admission::RetryAfter(const ServiceLoad& load) {
+  const double rate = std::max(1.0, load.completions_per_second);
+  const Duration wait = FromSeconds(load.in_flight / rate);
+  return std::clamp(this->random.Jitter(wait, 0.5), this->options.minimum_retry,
+                    this->options.maximum_retry);
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/src/request_policy/ratio_budget.cc
@@ -0,0 +1,23 @@
+#include <algorithm>
+
+#include "ibishold/request_policy.h"
+
+namespace ibishold {
+
+RatioBudget::RatioBudget(RatioBudgetOptions options) : options(options), saved(options.initial) {}
+
+void RatioBudget::Request() {
+  this->saved = std::min(this->saved + this->options.share, this->options.maximum);
+}
+
+bool RatioBudget::TryTake() {
+  // 25 deposits of 0.04 must pay for one request in spite of rounding.
+  constexpr double kRounding = 1e-9;
+  if (this->saved + kRounding < 1) {
+    return false;
+  }
+  this->saved = std::max(0.0, this->saved - 1);
+  return true;
+}
+
+}  // namespace ibishold
