--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -4,12 +4,11 @@
 // The front: callers' requests to leaf requests and back to one answer.
 //
 // Index of this header:
-//   1. Requests        what callers ask and what they get
-//   2. Events          what brokers report
-//   3. Actions         what the front asks its environment to do
-//   4. FrontOptions    limits and margins
-//   5. FrontCounters   what happened so far
-//   6. FrontCore       all decisions of the front; no clock, no socket
+//   1. Events          what brokers report
+//   2. Actions         what the front asks its environment to do
+//   3. FrontOptions    limits and margins
+//   4. FrontCounters   what happened so far
+//   5. FrontCore       all decisions of the front; no clock, no socket
 
 #include <cstdint>
 #include <memory>
@@ -18,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "ibishold/caller.h"
 #include "ibishold/config.h"
 #include "ibishold/core.h"
 #include "ibishold/request_policy.h"
@@ -26,42 +26,7 @@
 
 namespace ibishold {
 
-// ---- 1. Requests --------------------------------------------------------------------------------
-
-enum class RequestKind : std::uint8_t {
-  kQuery,    // repeatable, fans out to all shards
-  kExecute,  // non-repeatable, one shard
-};
-
-struct CallerRequest {
-  std::uint64_t ticket = 0;  // names the waiting caller, unique per process
-  RequestKind kind = RequestKind::kQuery;
-  ServiceName service;
-  TenantName tenant;
-  RequestClass request_class = RequestClass::kStandard;
-  std::string request_id;
-  std::string token;      // Idempotency-Key; execute only, may be empty
-  std::uint64_t key = 0;  // record key; execute only
-  std::string body;       // JSON of the query or the operation
-  TimePoint deadline{};
-};
-
-struct CallerAnswer {
-  std::uint64_t ticket = 0;
-  int status = 200;  // HTTP status
-  Verdict verdict = Verdict::kRan;
-  std::string body;        // JSON
-  Duration retry_after{};  // 0: none
-  std::string new_token;   // header Idempotency-Key; empty: none
-};
-
-// JSON body of a refusal, as docs/api.md describes it.
-std::string RefusalBody(std::string_view error,
-                        std::string_view message,
-                        Verdict verdict,
-                        Duration retry_after);
-
-// ---- 2. Events ----------------------------------------------------------------------------------
+// ---- 1. Events ----------------------------------------------------------------------------------
 
 // Answer of a broker for one attempt.
 struct LeafReply {
@@ -76,7 +41,7 @@
   std::string message;
 };
 
-// ---- 3. Actions ---------------------------------------------------------------------------------
+// ---- 2. Actions ---------------------------------------------------------------------------------
 
 struct LeafCall {
   std::uint64_t attempt = 0;  // unique per run of the front
@@ -116,7 +81,7 @@
 
 using FrontAction = std::variant<SendBatch, SendCancel, Reply>;
 
-// ---- 4. FrontOptions ----------------------------------------------------------------------------
+// ---- 3. FrontOptions ----------------------------------------------------------------------------
 
 struct FrontOptions {
   VmId vm;
@@ -142,7 +107,7 @@
   RatioBudgetOptions retry_budget = {.share = 0.05, .initial = 10};
 };
 
-// ---- 5. FrontCounters ---------------------------------------------------------------------------
+// ---- 4. FrontCounters ---------------------------------------------------------------------------
 
 struct FrontCounters {
   std::uint64_t requests = 0;
@@ -162,7 +127,7 @@
   std::uint64_t abandoned = 0;  // callers that left
 };
 
-// ---- 6. FrontCore -------------------------------------------------------------------------------
+// ---- 5. FrontCore -------------------------------------------------------------------------------
 
 class Dispatcher;
 class QueryEngine;
--- a/src/front/query_answer.cc
+++ b/src/front/query_answer.cc
@@ -8,18 +8,6 @@
 
 namespace json = boost::json;
 
-std::string RefusalBody(std::string_view error,
-                        std::string_view message,
-                        Verdict verdict,
-                        Duration retry_after) {
-  json::object body{
-      {"error", error}, {"message", message}, {"verdict", NameOf(kVerdictNames, verdict)}};
-  if (retry_after > Duration{}) {
-    body["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
-  }
-  return json::serialize(body);
-}
-
 void QueryEngine::Refuse(const CallerRequest& request,
                          int status,
                          std::string_view error,
