Add the front process, the callers' HTTP server and its daemon

The test runs the process against two scripted brokers on real links: whole answer, deadline with silent leaves, planned stop with a request in flight.

--- a/src/adapters/caller/caller_server.cc
+++ b/src/adapters/caller/caller_server.cc
@@ -67,7 +67,8 @@
     }
     if (error) {
       // Out of descriptors or similar: try again after a pause instead of spinning.
-      auto pause = std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds(50));
+      auto pause =
+          std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds(50));
       pause->async_wait([this, pause](boost::system::error_code) {
         if (this->acceptor.is_open()) {
           this->Accept();
@@ -75,6 +76,10 @@
       });
       return;
     }
+    if (this->sessions.size() >= 2 * this->options.connection_limit) {
+      this->Accept();  // even refusals are bounded; the socket closes here
+      return;
+    }
     ++this->counts.connections;
     const bool full = this->sessions.size() >= this->options.connection_limit;
     auto session = std::make_shared<Session>(std::move(socket), *this);
--- a/src/adapters/caller/session.cc
+++ b/src/adapters/caller/session.cc
@@ -11,6 +11,13 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+namespace {
+
+constexpr std::chrono::seconds kDrainLimit{1};      // input read after a refusal
+constexpr std::size_t kDrainBytes = 1024UL * 1024;  // of that input
+
+}  // namespace
+
 CallerServer::Session::Session(asio::ip::tcp::socket peer, CallerServer& server)
     : socket(std::move(peer)), timer(this->socket.get_executor()), server(server) {
   boost::system::error_code ignored;
@@ -52,7 +59,8 @@
     return;
   }
   if (this->phase == Phase::kIdle) {
-    // The limit runs from the first byte to the last one, so that sending slowly does not extend it.
+    // The limit runs from the first byte to the last one, so that sending slowly does not extend
+    // it.
     this->phase = Phase::kReceiving;
     this->SetTimer(this->server.options.receive_limit);
   }
@@ -70,22 +78,21 @@
     return;
   }
   if (error == http::error::body_limit) {
-    this->Refuse(413, "too_large",
-                 absl::StrCat("the body is larger than ", this->server.options.body_limit,
-                              " bytes"),
-                 Duration{}, true);
+    this->Refuse(
+        413, "too_large",
+        absl::StrCat("the body is larger than ", this->server.options.body_limit, " bytes"),
+        Duration{}, true);
     return;
   }
   if (error == http::error::header_limit) {
-    this->Refuse(431, "header_too_large",
-                 absl::StrCat("the header is larger than ", this->server.options.header_limit,
-                              " bytes"),
-                 Duration{}, true);
+    this->Refuse(
+        431, "header_too_large",
+        absl::StrCat("the header is larger than ", this->server.options.header_limit, " bytes"),
+        Duration{}, true);
     return;
   }
   const bool from_parser = error.category() == make_error_code(http::error::bad_method).category();
-  if (from_parser && error != http::error::end_of_stream &&
-      error != http::error::partial_message) {
+  if (from_parser && error != http::error::end_of_stream && error != http::error::partial_message) {
     this->Refuse(400, "bad_http", "not an HTTP/1.1 request: " + error.message(), Duration{}, true);
     return;
   }
@@ -133,8 +140,8 @@
         char byte = 0;
         boost::system::error_code peek;
         self->socket.non_blocking(true, peek);
-        const std::size_t size = self->socket.receive(
-            asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
+        const std::size_t size =
+            self->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
         if (size > 0 || peek == asio::error::would_block) {
           return;  // the next request of the same caller
         }
@@ -156,6 +163,7 @@
                                    Duration retry_after,
                                    bool close) {
   this->server.counts.bad_input += status < 500 ? 1 : 0;
+  this->input_unread = close;
   this->Write(status, RefusalBody(error, message, Verdict::kNotRun, retry_after), retry_after, "",
               close);
 }
@@ -192,6 +200,14 @@
                       if (self->phase == Phase::kClosed) {
                         return;
                       }
+                      if (!error && self->input_unread) {
+                        boost::system::error_code ignored;
+                        self->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                        self->phase = Phase::kDraining;
+                        self->SetTimer(kDrainLimit);
+                        self->DrainInput();
+                        return;
+                      }
                       if (error || !self->response.keep_alive()) {
                         self->Leave();
                         return;
@@ -201,6 +217,24 @@
                     });
 }
 
+// Closing a socket with unread input resets the connection, and the peer may lose the refusal.
+void CallerServer::Session::DrainInput() {
+  this->buffer.clear();
+  this->socket.async_read_some(
+      this->buffer.prepare(4096),
+      [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+        if (self->phase != Phase::kDraining) {
+          return;
+        }
+        self->drained += size;
+        if (error || self->drained > kDrainBytes) {
+          self->Leave();
+          return;
+        }
+        self->DrainInput();
+      });
+}
+
 void CallerServer::Session::SetTimer(Duration limit) {
   this->timer.expires_after(limit);
   this->timer.async_wait(
@@ -228,6 +262,7 @@
       return;
     case Phase::kIdle:
     case Phase::kWriting:
+    case Phase::kDraining:
       this->Leave();
       return;
     case Phase::kClosed:
--- a/src/adapters/caller/session.h
+++ b/src/adapters/caller/session.h
@@ -23,7 +23,7 @@
   void Close();
 
  private:
-  enum class Phase : std::uint8_t { kIdle, kReceiving, kWaiting, kWriting, kClosed };
+  enum class Phase : std::uint8_t { kIdle, kReceiving, kWaiting, kWriting, kDraining, kClosed };
 
   void ReadNext();
   void ReadSome();
@@ -43,6 +43,7 @@
              bool close);
   void SetTimer(Duration limit);
   void OnTimer();
+  void DrainInput();
   void Leave();
 
   boost::asio::ip::tcp::socket socket;
@@ -55,7 +56,9 @@
   std::uint64_t ticket = 0;     // while waiting
   std::uint64_t timer_run = 0;  // timers that were replaced do nothing
   std::string request_id;       // of the current request
+  std::size_t drained = 0;      // bytes thrown away after a refusal
   bool timed_out = false;
+  bool input_unread = false;  // refused before the whole request was read
   bool keep_alive = false;
 };
 
--- /dev/null
+++ b/src/front/frames.cc
@@ -0,0 +1,77 @@
+#include "front/frames.h"
+
+#include <algorithm>
+
+namespace ibishold {
+
+namespace {
+
+std::uint64_t MicrosecondsLeft(TimePoint deadline, TimePoint now) {
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - now).count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
+}
+
+}  // namespace
+
+capnp::Data::Reader ToData(std::string_view text) {
+  return {reinterpret_cast<const capnp::byte*>(text.data()), text.size()};
+}
+
+std::string FromData(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+void WriteBatch(const SendBatch& batch, TimePoint now, wire::Frame::Builder out) {
+  out.setCorrelation(batch.batch);
+  auto body = out.getBody().initLeafBatch();
+  body.setRequestId(batch.request_id);
+  body.setService(batch.service.value);
+  body.setKind(batch.kind == RequestKind::kQuery ? wire::RequestKind::SEARCH
+                                                 : wire::RequestKind::EXECUTE);
+  body.setRequestClass(static_cast<wire::RequestClass>(batch.request_class));
+  body.setTenant(batch.tenant.value);
+  body.setTimeLeftMicros(MicrosecondsLeft(batch.deadline, now));
+  body.setIndexVersion(batch.snapshot.index_version);
+  body.setMapVersion(batch.snapshot.partition_map_version);
+  body.setFingerprint(batch.fingerprint);
+  body.setBody(ToData(*batch.body));
+  auto requests = body.initRequests(static_cast<unsigned>(batch.calls.size()));
+  for (unsigned i = 0; i < batch.calls.size(); ++i) {
+    const LeafCall& call = batch.calls[i];
+    requests[i].setAttempt(call.attempt);
+    requests[i].setLeaf(call.leaf.value);
+    requests[i].setShard(call.shard.value);
+    requests[i].setHedge(call.hedge);
+  }
+}
+
+void WriteCancel(const SendCancel& cancel, std::uint64_t correlation, wire::Frame::Builder out) {
+  out.setCorrelation(correlation);
+  auto attempts =
+      out.getBody().initCancel().initAttempts(static_cast<unsigned>(cancel.attempts.size()));
+  for (unsigned i = 0; i < cancel.attempts.size(); ++i) {
+    attempts.set(i, cancel.attempts[i]);
+  }
+}
+
+LeafReply ReadLeafReply(wire::LeafAnswer::Reader answer) {
+  LeafReply reply;
+  reply.attempt = answer.getAttempt();
+  reply.outcome = answer.getOutcome();
+  // A verdict that this build does not know must not be taken for "not run".
+  reply.verdict = answer.getVerdict() == wire::Verdict::NOT_RUN ? Verdict::kNotRun
+                  : answer.getVerdict() == wire::Verdict::RAN   ? Verdict::kRan
+                                                                : Verdict::kMayHaveRun;
+  reply.complete = answer.getComplete();
+  reply.records = FromData(answer.getRecords());
+  reply.stated = {.index_version = answer.getIndexVersion(),
+                  .partition_map_version = answer.getMapVersion()};
+  for (const std::uint64_t version : answer.getVersionsHeld()) {
+    reply.index_versions.push_back(version);
+  }
+  reply.retry_after = std::chrono::milliseconds(answer.getRetryAfterMillis());
+  reply.message = answer.getMessage().cStr();
+  return reply;
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/tests/front/front_process_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <thread>
+
+#include "ibishold/front_process.h"
+#include "tests/front/caller_http.h"
+#include "tests/front/front_documents.h"
+#include "tests/front/scripted_broker.h"
+
+namespace ibishold {
+
+namespace json = boost::json;
+using testing::CallerHttp;
+using testing::HttpAnswer;
+
+namespace {
+
+constexpr std::uint16_t kHttp = 18080;
+
+FrontProcessOptions MakeOptions() {
+  FrontProcessOptions options;
+  options.address = "127.10.1.1";
+  options.ports.front_http = kHttp;
+  options.ports.front_link = 18081;
+  options.ports.broker_link = 18090;
+  options.incarnation = 1;
+  options.view_interval = std::chrono::milliseconds(20);
+  options.stop_lag = std::chrono::milliseconds(300);
+  options.core.vm = VmId("vm-0");
+  options.core.data_centre = DataCentre("dc-0");
+  options.link.vm = VmId("vm-0");
+  options.link.incarnation = 1;
+  options.caller.name = "vm-0-1";
+  return options;
+}
+
+template <typename Condition>
+bool Eventually(const Condition& condition, int milliseconds = 3000) {
+  for (int i = 0; i < milliseconds; ++i) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return false;
+}
+
+const std::map<std::string, std::string> kHeaders = {{"X-Deadline-Ms", "1000"},
+                                                     {"X-Tenant", "desk"},
+                                                     {"X-Class", "interactive"}};
+
+}  // namespace
+
+TEST_CASE("a query through a front and two brokers") {
+  const ControlView view = testing::MakeSendableView({});
+  testing::ScriptedBroker first(VmId("vm-0"), view);
+  testing::ScriptedBroker second(VmId("vm-1"), view);
+  REQUIRE(first.Start("127.10.1.1", 18090).ok());
+  REQUIRE(second.Start("127.10.1.2", 18090).ok());
+  Metrics metrics;
+  FrontProcess front(MakeOptions(), metrics);
+  REQUIRE(front.Start().ok());
+  REQUIRE(Eventually([&] { return front.ready(); }));
+
+  CallerHttp caller("127.10.1.1", kHttp);
+  SUBCASE("holds one record of each shard and states snapshot and coverage") {
+    // Guards against an answer that is not whole although every leaf answered.
+    const HttpAnswer answer =
+        caller.Post("/v1/services/stock/query", R"({"query":{"term":"a"}})", kHeaders);
+    REQUIRE(answer.status == 200);
+    const json::value body = json::parse(answer.body);
+    CHECK(body.at("snapshot").at("index_version").to_number<int>() == 7);
+    CHECK(body.at("snapshot").at("partition_map_version").to_number<int>() == 1);
+    CHECK(body.at("coverage").at("fraction").to_number<double>() == 1.0);
+    CHECK(body.at("coverage").at("shards").as_array().size() == 4);
+    CHECK(body.at("records").as_array().size() == 4);
+    CHECK(body.at("verdict").as_string() == "ran");
+    CHECK(answer.headers.at("X-Request-Id") == body.at("request_id").as_string());
+  }
+  SUBCASE("answers at the deadline when the leaves are silent") {
+    // Guards against a caller that is held past its deadline.
+    first.silent = true;
+    second.silent = true;
+    const auto began = std::chrono::steady_clock::now();
+    const HttpAnswer answer =
+        caller.Post("/v1/services/stock/query", R"({"query":{}})", {{"X-Deadline-Ms", "200"}});
+    const auto took = std::chrono::steady_clock::now() - began;
+    CHECK(answer.status == 504);
+    CHECK(json::parse(answer.body).at("verdict").as_string() == "may_have_run");
+    CHECK(took < std::chrono::milliseconds(400));
+    CHECK(Eventually([&] { return first.cancels + second.cancels >= 4; }));
+  }
+  SUBCASE("stops as planned without cutting a request") {
+    // Guards against a stop that loses the answer of a request in flight.
+    first.delay_ms = 500;
+    second.delay_ms = 500;
+    HttpAnswer answer;
+    std::thread waiting([&] {
+      answer = caller.Post("/v1/services/stock/query", R"({"query":{"term":"b"}})", kHeaders);
+    });
+    REQUIRE(Eventually([&] { return first.requests + second.requests >= 4; }));
+    front.BeginStop();
+    CHECK_FALSE(front.ready());
+    waiting.join();
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.keep_alive);
+    CHECK(Eventually([&] { return front.stopped().load(); }));
+  }
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/tests/front/scripted_broker.h
@@ -0,0 +1,158 @@
+#ifndef TESTS_FRONT_SCRIPTED_BROKER_H_
+#define TESTS_FRONT_SCRIPTED_BROKER_H_
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <future>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "front/frames.h"
+#include "ibishold/control.h"
+#include "ibishold/net.h"
+
+namespace ibishold::testing {
+
+// Broker on a real link whose answers a test writes: serves one view and answers each leaf request
+// with one record that repeats the query's term. It can hold answers back and report cancels.
+class ScriptedBroker {
+ public:
+  ScriptedBroker(const VmId& vm, ControlView view) : view(std::move(view)) {
+    LinkOptions options;
+    options.vm = vm;
+    options.role = wire::Hello::Role::BROKER;
+    options.incarnation = 1;
+    this->server = std::make_unique<LinkServer>(this->context, options);
+  }
+
+  ~ScriptedBroker() {
+    this->context.stop();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  absl::Status Start(const std::string& address, std::uint16_t port) {
+    const absl::Status status = this->server->Listen(
+        address, port,
+        [this](FrameLink& link, wire::Frame::Reader frame) { this->OnFrame(link, frame); },
+        [](FrameLink&, const absl::Status&) {});
+    this->thread = std::thread([this] { this->context.run(); });
+    return status;
+  }
+
+  void SetView(ControlView next) {
+    asio_post([this, next = std::move(next)] { this->view = next; });
+  }
+
+  std::atomic<int> delay_ms{0};             // before each answer
+  std::atomic<bool> silent{false};          // answer no leaf request
+  std::atomic<bool> cancel_removes{false};  // answer to a cancel: removed, or may have run
+  std::atomic<int> requests{0};
+  std::atomic<int> executes{0};
+  std::atomic<int> cancels{0};
+  std::atomic<std::uint64_t> index_version{7};
+
+ private:
+  template <typename F>
+  void asio_post(F&& work) {
+    boost::asio::post(this->context, std::forward<F>(work));
+  }
+
+  void OnFrame(FrameLink& link, wire::Frame::Reader frame) {
+    const auto body = frame.getBody();
+    if (body.isGetView()) {
+      capnp::MallocMessageBuilder message;
+      auto out = message.initRoot<wire::Frame>();
+      out.setCorrelation(frame.getCorrelation());
+      WriteView(this->view, body.getGetView().getKnown(), out.getBody().initView());
+      link.Send(message).IgnoreError();
+      return;
+    }
+    if (body.isCancel()) {
+      for (const std::uint64_t attempt : body.getCancel().getAttempts()) {
+        ++this->cancels;
+        capnp::MallocMessageBuilder message;
+        auto out = message.initRoot<wire::Frame>();
+        auto result = out.getBody().initCancelResult();
+        result.setAttempt(attempt);
+        result.setVerdict(this->cancel_removes ? wire::Verdict::NOT_RUN
+                                               : wire::Verdict::MAY_HAVE_RUN);
+        link.Send(message).IgnoreError();
+      }
+      return;
+    }
+    if (!body.isLeafBatch()) {
+      return;
+    }
+    const auto batch = body.getLeafBatch();
+    const std::string content = FromData(batch.getBody());
+    const bool execute = batch.getKind() == wire::RequestKind::EXECUTE;
+    for (const auto request : batch.getRequests()) {
+      ++this->requests;
+      this->executes += execute ? 1 : 0;
+      if (this->silent) {
+        continue;
+      }
+      this->AnswerLater(link.shared_from_this(), frame.getCorrelation(), request.getAttempt(),
+                        std::string(request.getShard().cStr()), content, batch.getMapVersion());
+    }
+  }
+
+  void AnswerLater(FrameLinkPtr link,
+                   std::uint64_t correlation,
+                   std::uint64_t attempt,
+                   const std::string& shard,
+                   const std::string& content,
+                   std::uint64_t map_version) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        this->context, std::chrono::milliseconds(this->delay_ms.load()));
+    timer->async_wait([=, this, timer = timer](boost::system::error_code) {
+      capnp::MallocMessageBuilder message;
+      auto out = message.initRoot<wire::Frame>();
+      out.setCorrelation(correlation);
+      auto answer = out.getBody().initLeafAnswer();
+      answer.setAttempt(attempt);
+      answer.setOutcome(wire::Outcome::OK);
+      answer.setVerdict(wire::Verdict::RAN);
+      answer.setComplete(true);
+      answer.setIndexVersion(this->index_version);
+      answer.setMapVersion(map_version);
+      answer.initVersionsHeld(1).set(0, this->index_version);
+      // Each shard of the test topology holds the one key that is its begin.
+      const std::uint64_t key = this->KeyOf(shard);
+      const std::string records =
+          "[{\"key\":" + std::to_string(key) + ",\"value\":" + content + "}]";
+      answer.setRecords(ToData(records));
+      link->Send(message).IgnoreError();
+    });
+  }
+
+  std::uint64_t KeyOf(const std::string& shard) const {
+    for (const Service& service : this->view.topology->services) {
+      for (const Shard& each : service.shards) {
+        if (each.id.value == shard) {
+          return each.range.begin;
+        }
+      }
+    }
+    return 0;
+  }
+
+  boost::asio::io_context context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
+      this->context.get_executor()};
+  ControlView view;
+  std::unique_ptr<LinkServer> server;
+  std::thread thread;
+};
+
+}  // namespace ibishold::testing
+
+#endif  // TESTS_FRONT_SCRIPTED_BROKER_H_
