--- /dev/null
+++ b/src/adapters/caller/caller_server.cc
@@ -0,0 +1,96 @@
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "adapters/caller/session.h"
+#include "ibishold/caller.h"
+
+namespace ibishold {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+CallerServer::CallerServer(asio::io_context& context, CallerServerOptions options)
+    : context(context), acceptor(context), options(std::move(options)) {}
+
+CallerServer::~CallerServer() {
+  this->CloseConnections();
+}
+
+absl::Status CallerServer::Listen(const std::string& address,
+                                  std::uint16_t port,
+                                  RequestHandler request_handler,
+                                  AbandonHandler abandon_handler) {
+  this->on_request = std::move(request_handler);
+  this->on_abandon = std::move(abandon_handler);
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen();
+  } catch (const boost::system::system_error& error) {
+    return absl::UnavailableError(
+        absl::StrCat("listen on ", address, ":", port, ": ", error.what()));
+  }
+  this->Accept();
+  return absl::OkStatus();
+}
+
+void CallerServer::Answer(const CallerAnswer& answer) {
+  const auto found = this->waiting.find(answer.ticket);
+  if (found == this->waiting.end()) {
+    ++this->counts.late_answers;
+    return;
+  }
+  found->second->Answer(answer);
+}
+
+void CallerServer::AnnounceClose() {
+  this->closing = true;
+}
+
+void CallerServer::StopAccepting() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+void CallerServer::CloseConnections() {
+  for (const auto& session : std::exchange(this->sessions, {})) {
+    session->Close();
+  }
+}
+
+void CallerServer::Accept() {
+  this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      // Out of descriptors or similar: try again after a pause instead of spinning.
+      auto pause =
+          std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds(50));
+      pause->async_wait([this, pause](boost::system::error_code) {
+        if (this->acceptor.is_open()) {
+          this->Accept();
+        }
+      });
+      return;
+    }
+    if (this->sessions.size() >= 2 * this->options.connection_limit) {
+      this->Accept();  // even refusals are bounded; the socket closes here
+      return;
+    }
+    ++this->counts.connections;
+    const bool full = this->sessions.size() >= this->options.connection_limit;
+    auto session = std::make_shared<Session>(std::move(socket), *this);
+    this->sessions.insert(session);
+    if (full) {
+      session->RefuseConnection();
+    } else {
+      session->Start();
+    }
+    this->Accept();
+  });
+}
+
+}  // namespace ibishold
