--- /dev/null
+++ b/tests/front/sim_front.h
@@ -0,0 +1,182 @@
+#ifndef TESTS_FRONT_SIM_FRONT_H_
+#define TESTS_FRONT_SIM_FRONT_H_
+
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "ibishold/front.h"
+#include "tests/front/front_documents.h"
+
+namespace ibishold::testing {
+
+using std::chrono::milliseconds;
+
+// The front's decision code in virtual time. A test scripts what brokers do with each leaf call.
+class SimFront {
+ public:
+  using CallHandler = std::function<void(const SendBatch&, const LeafCall&)>;
+
+  explicit SimFront(FrontOptions options = {}, const DocumentOptions& documents = {})
+      : core(Prepare(std::move(options))) {
+    this->SetView(MakeView(documents));
+    this->on_call = [this](const SendBatch& batch, const LeafCall& call) {
+      this->ReplyIn(milliseconds(5), batch, this->Good(batch, call));
+    };
+  }
+
+  static FrontOptions Prepare(FrontOptions options) {
+    options.vm = VmId("vm-0");
+    options.data_centre = DataCentre("dc-0");
+    return options;
+  }
+
+  void SetView(ControlView next) {
+    this->view = std::make_shared<ControlView>(std::move(next));
+    this->core.SetView(this->view, this->now);
+  }
+
+  // One record with the shard's first key; its value repeats the query.
+  LeafReply Good(const SendBatch& batch, const LeafCall& call) const {
+    LeafReply reply;
+    reply.attempt = call.attempt;
+    reply.complete = true;
+    reply.stated = batch.snapshot;
+    reply.index_versions = {batch.snapshot.index_version};
+    reply.records =
+        absl::StrCat("[{\"key\":", this->FirstKey(batch, call), ",\"value\":", *batch.body, "}]");
+    return reply;
+  }
+
+  static LeafReply Failed(const LeafCall& call, wire::Outcome outcome, Verdict verdict) {
+    LeafReply reply;
+    reply.attempt = call.attempt;
+    reply.outcome = outcome;
+    reply.verdict = verdict;
+    return reply;
+  }
+
+  void At(Duration delay, std::function<void()> event) {
+    this->events.emplace(this->now + delay, std::move(event));
+  }
+
+  void ReplyIn(Duration delay, const SendBatch& batch, LeafReply reply) {
+    this->At(delay, [this, broker = batch.broker, reply = std::move(reply)] {
+      this->core.OnLeafReply(broker, reply, this->now);
+    });
+  }
+
+  std::uint64_t Ask(const std::string& term,
+                    Duration time_left = milliseconds(500),
+                    const std::function<void(CallerRequest&)>& change = {}) {
+    CallerRequest request;
+    request.ticket = ++this->last_ticket;
+    request.service = ServiceName("stock");
+    request.tenant = TenantName("desk");
+    request.request_id = absl::StrCat("r-", request.ticket);
+    request.body = absl::StrCat("{\"term\":\"", term, "\"}");
+    request.deadline = this->now + time_left;
+    if (change) {
+      change(request);
+    }
+    const std::uint64_t ticket = request.ticket;
+    this->core.OnRequest(std::move(request), this->now);
+    this->Carry();
+    return ticket;
+  }
+
+  // Advances the virtual clock, running events and timers in order.
+  void Run(Duration duration) {
+    const TimePoint end = this->now + duration;
+    for (;;) {
+      this->Carry();
+      const std::optional<TimePoint> timer = this->core.NextTimer();
+      const bool event_first =
+          !this->events.empty() && (!timer || this->events.begin()->first <= *timer);
+      if (!event_first && !timer) {
+        break;
+      }
+      const TimePoint next = event_first ? this->events.begin()->first : *timer;
+      if (next > end) {
+        break;
+      }
+      this->now = std::max(this->now, next);
+      if (event_first) {
+        const auto event = std::move(this->events.begin()->second);
+        this->events.erase(this->events.begin());
+        event();
+      } else {
+        this->core.OnTimer(this->now);
+      }
+    }
+    this->now = end;
+  }
+
+  bool Answered(std::uint64_t ticket) const { return this->replies.contains(ticket); }
+  const CallerAnswer& AnswerOf(std::uint64_t ticket) const {
+    return this->replies.at(ticket).answer;
+  }
+  boost::json::value BodyOf(std::uint64_t ticket) const {
+    return boost::json::parse(this->AnswerOf(ticket).body);
+  }
+  double FractionOf(std::uint64_t ticket) const {
+    return this->BodyOf(ticket).at("coverage").at("fraction").to_number<double>();
+  }
+  std::uint64_t VersionOf(std::uint64_t ticket) const {
+    return this->BodyOf(ticket).at("snapshot").at("index_version").to_number<std::uint64_t>();
+  }
+
+  FrontCore core;
+  TimePoint now{std::chrono::seconds(1000)};
+  std::shared_ptr<const ControlView> view;
+  CallHandler on_call;
+  std::function<void(const SendCancel&)> on_cancel;
+  std::map<std::uint64_t, Reply> replies;  // by ticket
+  std::map<std::uint64_t, int> reply_counts;
+  std::vector<SendBatch> batches;
+  std::vector<SendCancel> cancels;
+
+ private:
+  void Carry() {
+    for (std::vector<FrontAction> actions = this->core.TakeActions(); !actions.empty();
+         actions = this->core.TakeActions()) {
+      for (const FrontAction& action : actions) {
+        if (const auto* batch = std::get_if<SendBatch>(&action)) {
+          this->batches.push_back(*batch);
+          for (const LeafCall& call : batch->calls) {
+            this->on_call(*batch, call);
+          }
+        } else if (const auto* cancel = std::get_if<SendCancel>(&action)) {
+          this->cancels.push_back(*cancel);
+          if (this->on_cancel) {
+            this->on_cancel(*cancel);
+          }
+        } else if (const auto* reply = std::get_if<Reply>(&action)) {
+          this->replies[reply->answer.ticket] = *reply;
+          ++this->reply_counts[reply->answer.ticket];
+        }
+      }
+    }
+  }
+
+  std::uint64_t FirstKey(const SendBatch& batch, const LeafCall& call) const {
+    for (const Shard& shard : this->view->topology->Find(batch.service)->shards) {
+      if (shard.id == call.shard) {
+        return shard.range.begin;
+      }
+    }
+    return 0;
+  }
+
+  std::multimap<TimePoint, std::function<void()>> events;
+  std::uint64_t last_ticket = 0;
+};
+
+}  // namespace ibishold::testing
+
+#endif  // TESTS_FRONT_SIM_FRONT_H_
--- /dev/null
+++ b/tests/front/snapshot_test.cc
@@ -0,0 +1,220 @@
+#include <doctest/doctest.h>
+
+#include "ibishold/snapshot.h"
+#include "tests/front/front_documents.h"
+#include "tests/front/sim_front.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::DocumentOptions;
+using testing::MakeTopology;
+using testing::SimFront;
+
+namespace {
+
+const ServiceName kStock("stock");
+
+LeafStatement States(std::size_t shard,
+                     std::size_t replica,
+                     std::vector<std::uint64_t> versions,
+                     TimePoint asked_at,
+                     std::uint64_t map_version = 1) {
+  return {.leaf = LeafId(absl::StrCat("leaf-", shard, "-", replica)),
+          .index_versions = std::move(versions),
+          .map_version = map_version,
+          .asked_at = asked_at};
+}
+
+}  // namespace
+
+TEST_CASE("choice of the snapshot") {
+  const TimePoint now{seconds(100)};
+  SnapshotTracker tracker;
+  const DocumentOptions documents;  // 4 shards, 2 replicas, hint 7, map 1
+  tracker.SetTopology(MakeTopology(documents), now);
+  const auto version = [&](const LeafFilter& usable = {}) {
+    return tracker.Select(kStock, usable, now)->snapshot.index_version;
+  };
+
+  SUBCASE("starts from the hint and needs every shard for a newer version") {
+    CHECK(version() == 7);
+    for (std::size_t shard = 0; shard < 3; ++shard) {
+      tracker.Learn(States(shard, 0, {7, 8}, now));
+    }
+    // Guards against pinning a version that one shard may not have loaded.
+    CHECK(version() == 7);
+    tracker.Learn(States(3, 1, {7, 8}, now));
+    CHECK(version() == 8);
+  }
+  SUBCASE("leaves the hint once a shard has dropped it") {
+    // Guards against pinning 7 although no leaf of shard 0 can answer it.
+    tracker.Learn(States(0, 0, {8}, now));
+    tracker.Learn(States(0, 1, {8}, now));
+    CHECK(version() == 8);
+  }
+  SUBCASE("does not count leaves that take no work") {
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+      tracker.Learn(States(shard, 0, {8}, now));
+      tracker.Learn(States(shard, 1, {7}, now));
+    }
+    CHECK(version() == 8);
+    CHECK(version([](const Leaf& leaf) { return leaf.data_centre != DataCentre("dc-0"); }) == 7);
+  }
+  SUBCASE("does not count leaves that were lost") {
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+      tracker.Learn(States(shard, 0, {8}, now));
+      tracker.Learn(States(shard, 1, {7}, now));
+    }
+    tracker.Unreachable(LeafId("leaf-2-0"), now);
+    CHECK(version() == 7);
+    tracker.Learn(States(2, 0, {8}, now + milliseconds(1)));
+    CHECK(version() == 8);
+  }
+  SUBCASE("ignores statements that are older than the last one") {
+    // Guards against a delayed answer that brings back a version the leaf has dropped.
+    tracker.Learn(States(0, 0, {8}, now));
+    tracker.Learn(States(0, 0, {7}, now - milliseconds(5)));
+    CHECK(tracker.Holds(LeafId("leaf-0-0"), {8, 1}));
+    CHECK_FALSE(tracker.Holds(LeafId("leaf-0-0"), {7, 1}));
+  }
+  SUBCASE("keeps the old map until the leaves serve the new one") {
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+      for (std::size_t replica = 0; replica < 2; ++replica) {
+        tracker.Learn(States(shard, replica, {7}, now, 1));
+      }
+    }
+    DocumentOptions next = documents;
+    next.map_version = 2;
+    next.generation = 2;
+    tracker.SetTopology(MakeTopology(next), now);
+    CHECK(tracker.Select(kStock, {}, now)->snapshot.partition_map_version == 1);
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+      tracker.Learn(States(shard, 1, {7}, now, 2));
+    }
+    CHECK(tracker.Select(kStock, {}, now)->snapshot.partition_map_version == 2);
+  }
+  SUBCASE("asks a leaf again that lacked the version") {
+    // Guards against a replica that never gets work again because it loaded a version late.
+    tracker.Learn(States(0, 0, {8}, now));
+    tracker.Learn(States(0, 1, {7}, now));
+    const Shard& shard = tracker.topology()->services[0].shards[0];
+    QueryPlanner planner(tracker);
+    CHECK(planner.CandidatesFor(shard, {8, 1}, {}, {}, now).holding.size() == 1);
+    CHECK(planner.CandidatesFor(shard, {8, 1}, {}, {}, now + seconds(2)).holding.size() == 2);
+    CHECK(planner.CandidatesFor(shard, {8, 1}, {}, {}, now + seconds(2)).holding.size() == 1);
+  }
+  SUBCASE("is empty for an unknown service") {
+    CHECK_FALSE(tracker.Select(ServiceName("none"), {}, now).has_value());
+  }
+}
+
+TEST_CASE("a query moves as a whole when its version has gone") {
+  SimFront front;
+  std::uint64_t held = 8;  // what all leaves hold
+  front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+    LeafReply reply = front.Good(batch, call);
+    reply.index_versions = {held};
+    if (batch.snapshot.index_version != held) {
+      reply.outcome = wire::Outcome::VERSION_GONE;
+      reply.verdict = Verdict::kNotRun;
+      reply.records.clear();
+      reply.stated.index_version = held;
+    }
+    // Leaves answer one after another, so that some have answered before the version goes.
+    front.ReplyIn(milliseconds(2 + call.attempt % 3), batch, reply);
+  };
+  SUBCASE("at the first query of a front with an outdated hint") {
+    const std::uint64_t ticket = front.Ask("a");
+    front.Run(milliseconds(600));
+    REQUIRE(front.Answered(ticket));
+    CHECK(front.VersionOf(ticket) == 8);
+    CHECK(front.FractionOf(ticket) == 1.0);
+    CHECK(front.core.counters().replans == 1);
+  }
+  SUBCASE("in the middle of a query, without mixing versions") {
+    // Guards against an answer that holds shards of two versions.
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      LeafReply reply = front.Good(batch, call);
+      const bool first_plan = batch.snapshot.index_version == 7;
+      reply.index_versions = {first_plan && call.shard == ShardId("s0") ? 7UL : 8UL};
+      if (first_plan && call.shard != ShardId("s0")) {
+        reply.outcome = wire::Outcome::VERSION_GONE;
+        reply.verdict = Verdict::kNotRun;
+      }
+      front.ReplyIn(milliseconds(call.shard == ShardId("s0") && first_plan ? 1 : 4), batch, reply);
+    };
+    const std::uint64_t ticket = front.Ask("a");
+    front.Run(milliseconds(600));
+    const auto body = front.BodyOf(ticket);
+    CHECK(front.VersionOf(ticket) == 8);
+    CHECK(body.at("records").as_array().size() == 4);
+    CHECK(front.FractionOf(ticket) == 1.0);
+  }
+  SUBCASE("once only; then the answer is partial and of one version") {
+    // Guards against a query that replans for ever while versions change faster than it runs.
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      LeafReply reply = front.Good(batch, call);
+      const bool steady = call.shard == ShardId("s0");
+      reply.index_versions = {batch.snapshot.index_version + (steady ? 0 : 1)};
+      if (!steady) {
+        reply.outcome = wire::Outcome::VERSION_GONE;
+        reply.verdict = Verdict::kNotRun;
+      }
+      front.ReplyIn(milliseconds(2), batch, reply);
+    };
+    const std::uint64_t ticket = front.Ask("a");
+    front.Run(milliseconds(600));
+    CHECK(front.core.counters().replans == 1);
+    CHECK(front.AnswerOf(ticket).status == 200);
+    CHECK(front.FractionOf(ticket) == doctest::Approx(0.25));
+    CHECK(front.BodyOf(ticket).at("records").as_array().size() == 1);
+  }
+  SUBCASE("an answer that states another version without refusing is not merged") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      LeafReply reply = front.Good(batch, call);
+      if (call.shard == ShardId("s2")) {
+        reply.stated.index_version = 6;  // states what it used, in spite of the request
+        reply.index_versions = {6, 7};
+      }
+      front.ReplyIn(milliseconds(2), batch, reply);
+    };
+    const std::uint64_t ticket = front.Ask("a");
+    front.Run(milliseconds(600));
+    CHECK(front.VersionOf(ticket) == 7);
+    CHECK(front.FractionOf(ticket) == doctest::Approx(0.75));
+    CHECK(front.core.counters().other_version >= 1);
+  }
+  SUBCASE("a new map during the query replans it too") {
+    DocumentOptions next;
+    next.map_version = 2;
+    next.generation = 2;
+    next.shards = 8;
+    next.prefix = "t";
+    const std::uint64_t ticket = [&] {
+      front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+        LeafReply reply = front.Good(batch, call);
+        reply.index_versions = {7};
+        reply.stated.partition_map_version = front.view->topology->partition_map_version;
+        front.ReplyIn(milliseconds(5), batch, reply);
+      };
+      return front.Ask("a");
+    }();
+    front.Run(milliseconds(1));
+    front.SetView(testing::MakeView(next));
+    for (auto& batch : front.batches) {
+      for (const LeafCall& call : batch.calls) {
+        LeafReply late = front.Good(batch, call);
+        late.stated = {7, 2};
+        front.core.OnLeafReply(batch.broker, late, front.now);
+      }
+    }
+    front.Run(milliseconds(600));
+    CHECK(front.BodyOf(ticket).at("snapshot").at("partition_map_version").to_number<int>() == 2);
+    CHECK(front.BodyOf(ticket).at("records").as_array().size() == 8);
+    CHECK(front.FractionOf(ticket) == 1.0);
+  }
+}
+
+}  // namespace ibishold
