Add idempotency: tokens with a home, hand-over to one successor

TokenHome records a token before it is dispatched, joins duplicates in flight, replays stored results and refuses expired tokens. At a planned stop the table goes to one named run in numbered parts; the old home then dispatches nothing.

Schema: TokenHandOver carries the home VM, the successor's incarnation, the home's clock, the highest issued sequence and part numbers; Successor carries the home VM and a hop count. Two VMs can start in the same millisecond, so the incarnation alone does not name a run; a restarted successor must not accept the same hand-over again; the last part alone does not prove that earlier ones arrived.

Mixing parts of two exports and importing after the own hand-over are not caught yet.

--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -127,6 +127,8 @@
 struct Successor {
   incarnation @0 :UInt64;   # run of a front that has stopped
   vm          @1 :Text;     # VM that took over its tokens
+  home        @2 :Text;     # VM of the stopped run; two VMs may have equal incarnations
+  hops        @3 :UInt32;   # hand-overs of the run so far; the highest report wins
 }
 
 struct Execute {
@@ -148,18 +150,27 @@
 }
 
 struct TokenHandOver {
-  incarnation @0 :UInt64;        # home run whose tokens these are
-  entries     @1 :List(TokenEntry);
-  last        @2 :Bool;
+  incarnation          @0 :UInt64;   # home run whose tokens these are
+  entries              @1 :List(TokenEntry);
+  last                 @2 :Bool;     # unused; complete when all parts have arrived
+  home                 @3 :Text;     # VM of the home run
+  successorIncarnation @4 :UInt64;   # the only run that may accept it
+  homeClockMillis      @5 :UInt64;   # home's clock when the hand-over began
+  issued               @6 :UInt64;   # highest sequence issued by the home
+  attempt              @7 :UInt32;   # number of the export, higher when it is repeated
+  part                 @8 :UInt32;   # 0..parts - 1
+  parts                @9 :UInt32;   # 0: results that came after the hand-over
 }
 
 struct TokenEntry {
   sequence     @0 :UInt64;
-  expiryMillis @1 :UInt64;       # time left
+  expiryMillis @1 :UInt64;       # by the clock of the token's home
   state        @2 :State;
   verdict      @3 :Verdict;
   status       @4 :UInt16;
   body         @5 :Data;
+  fingerprint  @6 :UInt64;       # of the operation
+  retryAfterMillis @7 :UInt64;
   enum State { issued @0; running @1; finished @2; }
 }
 
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -308,7 +308,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d244a9862d6ed92f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d244a9862d6ed92f, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -353,7 +353,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7bc039ba2bbcbe0, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b7bc039ba2bbcbe0, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -370,7 +370,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85b89a024aec899e, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(85b89a024aec899e, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1868,6 +1868,11 @@
   inline bool hasVm() const;
   inline  ::capnp::Text::Reader getVm() const;
 
+  inline bool hasHome() const;
+  inline  ::capnp::Text::Reader getHome() const;
+
+  inline  ::uint32_t getHops() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1906,6 +1911,16 @@
   inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
+  inline bool hasHome();
+  inline  ::capnp::Text::Builder getHome();
+  inline void setHome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHome(unsigned int size);
+  inline void adoptHome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHome();
+
+  inline  ::uint32_t getHops();
+  inline void setHops( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2183,6 +2198,21 @@
 
   inline bool getLast() const;
 
+  inline bool hasHome() const;
+  inline  ::capnp::Text::Reader getHome() const;
+
+  inline  ::uint64_t getSuccessorIncarnation() const;
+
+  inline  ::uint64_t getHomeClockMillis() const;
+
+  inline  ::uint64_t getIssued() const;
+
+  inline  ::uint32_t getAttempt() const;
+
+  inline  ::uint32_t getPart() const;
+
+  inline  ::uint32_t getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2224,6 +2254,31 @@
   inline bool getLast();
   inline void setLast(bool value);
 
+  inline bool hasHome();
+  inline  ::capnp::Text::Builder getHome();
+  inline void setHome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHome(unsigned int size);
+  inline void adoptHome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHome();
+
+  inline  ::uint64_t getSuccessorIncarnation();
+  inline void setSuccessorIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getHomeClockMillis();
+  inline void setHomeClockMillis( ::uint64_t value);
+
+  inline  ::uint64_t getIssued();
+  inline void setIssued( ::uint64_t value);
+
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline  ::uint32_t getParts();
+  inline void setParts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2280,6 +2335,10 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getRetryAfterMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2330,6 +2389,12 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getRetryAfterMillis();
+  inline void setRetryAfterMillis( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5216,6 +5281,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Successor::Reader::hasHome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Successor::Builder::hasHome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Successor::Reader::getHome() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Successor::Builder::getHome() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Successor::Builder::setHome( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Successor::Builder::initHome(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Successor::Builder::adoptHome(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Successor::Builder::disownHome() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Successor::Reader::getHops() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Successor::Builder::getHops() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Successor::Builder::setHops( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Execute::Reader::hasToken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5546,6 +5659,124 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TokenHandOver::Reader::hasHome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenHandOver::Builder::hasHome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenHandOver::Reader::getHome() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenHandOver::Builder::getHome() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TokenHandOver::Builder::setHome( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenHandOver::Builder::initHome(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TokenHandOver::Builder::adoptHome(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenHandOver::Builder::disownHome() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TokenHandOver::Reader::getSuccessorIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenHandOver::Builder::getSuccessorIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setSuccessorIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenHandOver::Reader::getHomeClockMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenHandOver::Builder::getHomeClockMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setHomeClockMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenHandOver::Reader::getIssued() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenHandOver::Builder::getIssued() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setIssued( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TokenHandOver::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenHandOver::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TokenHandOver::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenHandOver::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TokenHandOver::Reader::getParts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenHandOver::Builder::getParts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void TokenHandOver::Builder::setParts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TokenEntry::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5650,6 +5881,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t TokenEntry::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenEntry::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenEntry::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenEntry::Reader::getRetryAfterMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenEntry::Builder::getRetryAfterMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TokenEntry::Builder::setRetryAfterMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotRelease::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/tests/idempotency/token_home_test.cc
@@ -0,0 +1,153 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "ibishold/idempotency.h"
+
+namespace ibishold {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kOrder = 77;  // fingerprint of the operation
+
+TokenResult Ran(const std::string& body) {
+  return {.verdict = Verdict::kRan, .status = 200, .body = body};
+}
+
+const TokenResult kNotRun{.verdict = Verdict::kNotRun, .status = 503};
+
+}  // namespace
+
+TEST_CASE("a token is dispatched at most once by its home") {
+  TimePoint now{minutes(5)};
+  TokenHome home({.self = {.vm = VmId("a"), .incarnation = 100}});
+  const Token token = home.Issue(now).value();
+
+  const TokenDecision first = home.Begin(token, kOrder, 1, now);
+  REQUIRE(first.action == TokenAction::kDispatch);
+
+  SUBCASE("duplicates in flight join the running request") {
+    // Guards against a second dispatch while the first one runs (record before dispatch removed).
+    CHECK(home.Begin(token, kOrder, 2, now).action == TokenAction::kJoin);
+    CHECK(home.Begin(token, kOrder, 3, now).action == TokenAction::kJoin);
+    home.RemoveWaiter(token, 2);
+    const auto replies = home.Finish(token, first.dispatch, Ran("{}"), now);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].waiter == 3);
+    CHECK(replies[0].result.verdict == Verdict::kRan);
+
+    SUBCASE("a resend after the result gets the stored result") {
+      const TokenDecision resend = home.Begin(token, kOrder, 4, now + minutes(1));
+      CHECK(resend.action == TokenAction::kReplay);
+      CHECK(resend.result == Ran("{}"));
+    }
+    SUBCASE("a late answer does not turn the result around") {
+      CHECK(home.Finish(token, first.dispatch, kNotRun, now).empty());
+      CHECK(home.Begin(token, kOrder, 5, now).action == TokenAction::kReplay);
+    }
+  }
+  SUBCASE("the number of joined callers is bounded") {
+    for (std::uint64_t waiter = 0; waiter < 64; ++waiter) {
+      CHECK(home.Begin(token, kOrder, waiter, now).action == TokenAction::kJoin);
+    }
+    CHECK(home.Begin(token, kOrder, 65, now).action == TokenAction::kUnknownRun);
+  }
+  SUBCASE("a resend through another VM is forwarded to the home") {
+    TokenHome other({.self = {.vm = VmId("b"), .incarnation = 100}});
+    const TokenDecision decision = other.Begin(token, kOrder, 1, now);
+    CHECK(decision.action == TokenAction::kForward);
+    CHECK(decision.forward_to == VmId("a"));
+  }
+  SUBCASE("may_have_run is kept, and made precise by a later answer") {
+    home.Finish(token, first.dispatch, {.verdict = Verdict::kMayHaveRun, .status = 504}, now);
+    CHECK(home.Begin(token, kOrder, 2, now).result.verdict == Verdict::kMayHaveRun);
+    home.Finish(token, first.dispatch, Ran("{}"), now);
+    CHECK(home.Begin(token, kOrder, 2, now).result.verdict == Verdict::kRan);
+  }
+  SUBCASE("not_run frees the token for one more dispatch") {
+    home.Finish(token, first.dispatch, kNotRun, now);
+    const TokenDecision second = home.Begin(token, kOrder, 2, now);
+    REQUIRE(second.action == TokenAction::kDispatch);
+    SUBCASE("a repeated not_run of the first dispatch does not free the second") {
+      // Guards against a third dispatch while the second one runs.
+      home.Finish(token, first.dispatch, kNotRun, now);
+      CHECK(home.Begin(token, kOrder, 3, now).action == TokenAction::kJoin);
+    }
+  }
+  SUBCASE("the same token with another operation runs nothing") {
+    CHECK(home.Begin(token, kOrder + 1, 2, now).action == TokenAction::kMismatch);
+  }
+  SUBCASE("the home dies: its next run and all others never dispatch") {
+    TokenHome next({.self = {.vm = VmId("a"), .incarnation = 101}});
+    CHECK(next.Begin(token, kOrder, 2, now).action == TokenAction::kUnknownRun);
+  }
+  SUBCASE("a freeze past the expiry: a late resend is not dispatched") {
+    // Guards against a dropped record of a request that ran (expiry check removed).
+    home.Finish(token, first.dispatch, Ran("{}"), now);
+    now += minutes(11);
+    const Token other = home.Issue(now).value();  // drops the expired record
+    CHECK(home.size() == 0);
+    CHECK(home.Begin(token, kOrder, 2, now).action == TokenAction::kExpired);
+    CHECK(home.Begin(other, kOrder, 2, now).action == TokenAction::kDispatch);
+  }
+  SUBCASE("a freeze during the dispatch: the late result answers the joined callers") {
+    CHECK(home.Begin(token, kOrder, 2, now).action == TokenAction::kJoin);
+    now += minutes(60);
+    CHECK(home.Begin(token, kOrder, 3, now).action != TokenAction::kDispatch);
+    CHECK(home.Finish(token, first.dispatch, Ran("{}"), now).size() == 2);
+  }
+  SUBCASE("a token that was never issued is not dispatched") {
+    Token forged = token;
+    forged.sequence += 1;
+    CHECK(home.Begin(forged, kOrder, 2, now).action == TokenAction::kUnknownRun);
+  }
+}
+
+TEST_CASE("the table is bounded and drops nothing before its expiry") {
+  TimePoint now{minutes(5)};
+  TokenHome home({.self = {.vm = VmId("a"), .incarnation = 100}, .table_limit = 3});
+  const Token late = home.Issue(now).value();
+  std::vector<Token> tokens;
+  for (int i = 0; i < 3; ++i) {
+    tokens.push_back(home.Issue(now).value());
+    const TokenDecision decision = home.Begin(tokens.back(), kOrder, 1, now);
+    REQUIRE(decision.action == TokenAction::kDispatch);
+    home.Finish(tokens.back(), decision.dispatch, Ran("{}"), now);
+  }
+  SUBCASE("a full table refuses new work and keeps replaying the old") {
+    // Guards against an evicted record, whose resend would run a second time.
+    CHECK(home.Begin(late, kOrder, 1, now).action == TokenAction::kFull);
+    CHECK(home.Issue(now).status().code() == absl::StatusCode::kResourceExhausted);
+    for (const Token& token : tokens) {
+      CHECK(home.Begin(token, kOrder, 1, now).action == TokenAction::kReplay);
+    }
+  }
+  SUBCASE("expiry makes room") {
+    now += minutes(10);
+    CHECK(home.Issue(now).ok());
+    CHECK(home.size() == 0);
+    CHECK(home.stored_bytes() == 0);
+  }
+}
+
+TEST_CASE("stored bodies are bounded, verdicts are always kept") {
+  const TimePoint now{minutes(5)};
+  TokenHome home(
+      {.self = {.vm = VmId("a"), .incarnation = 100}, .body_limit = 100, .stored_limit = 150});
+  std::vector<Token> tokens;
+  for (const std::size_t size : {101, 100, 51, 50}) {
+    const Token token = home.Issue(now).value();
+    const TokenDecision decision = home.Begin(token, kOrder, 1, now);
+    home.Finish(token, decision.dispatch, Ran(std::string(size, 'x')), now);
+    const TokenDecision replay = home.Begin(token, kOrder, 1, now);
+    CHECK(replay.action == TokenAction::kReplay);
+    CHECK(replay.result.verdict == Verdict::kRan);
+    CHECK(replay.result.body.size() == (size == 100 || size == 50 ? size : 0));
+  }
+  CHECK(home.stored_bytes() == 150);
+}
+
+}  // namespace ibishold
