--- a/include/ibishold/control.h
+++ b/include/ibishold/control.h
@@ -9,17 +9,22 @@
 //   2. ControlDuty      the control thread
 //   3. Views on links   getView and view between a front and its broker
 //   4. Documents        getDocument and document between brokers
+//   5. Datagrams        heartbeats on UDP
 
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "ibishold/config.h"
 #include "ibishold/core.h"
+#include "ibishold/membership.h"
 #include "schema/ibishold.capnp.h"
 
 namespace ibishold {
@@ -93,6 +98,21 @@
                    wire::GetDocument::Reader request,
                    wire::Document::Builder out);
 
+// The document of a frame; nothing if the sender has none. Errors: InvalidArgument (damaged body).
+absl::StatusOr<std::optional<Document>> ReadDocument(wire::Document::Reader frame);
+
+// Raw deflate stream of a text and its inverse. Errors: InvalidArgument if the stream is damaged or
+// yields another length.
+std::string Deflate(std::string_view text);
+absl::StatusOr<std::string> Inflate(std::string_view stream, std::size_t text_bytes);
+
+// ---- 5. Datagrams -------------------------------------------------------------------------------
+
+// One packed Cap'n Proto message of type Datagram; packing halves its size.
+std::string EncodeDatagram(const HeartbeatMessage& message);
+// Errors: InvalidArgument.
+absl::StatusOr<HeartbeatMessage> DecodeDatagram(std::string_view bytes);
+
 }  // namespace ibishold
 
 #endif  // IBISHOLD_CONTROL_H_
--- a/src/config/config_store.cc
+++ b/src/config/config_store.cc
@@ -101,7 +101,11 @@
   if (place != this->in_force.end()) {
     *place = std::move(document);
   } else {
-    this->in_force.push_back(std::move(document));
+    // Ordered by key, so that equal sets of documents give equal lists of digests.
+    const auto after = std::upper_bound(
+        this->in_force.begin(), this->in_force.end(), document.digest.key,
+        [](const std::string& key, const Document& each) { return key < each.digest.key; });
+    this->in_force.insert(after, std::move(document));
   }
   return result;
 }
--- /dev/null
+++ b/src/control/document_frames.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <boost/beast/zlib.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "ibishold/control.h"
+
+namespace ibishold {
+
+namespace zlib = boost::beast::zlib;
+
+namespace {
+
+// Shorter texts fit one or two packets anyway.
+constexpr std::size_t kDeflateFrom = 1024;
+// The platform's limit for a value, with room.
+constexpr std::size_t kTextLimit = 4U << 20U;
+
+kj::ArrayPtr<const kj::byte> Bytes(std::string_view text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+}  // namespace
+
+bool WriteDocument(const ControlView& view,
+                   wire::GetDocument::Reader request,
+                   wire::Document::Builder out) {
+  const std::string_view key = request.getKey().cStr();
+  const auto found = std::find_if(view.documents.begin(), view.documents.end(),
+                                  [&](const Document& each) { return each.digest.key == key; });
+  out.setKey(request.getKey());
+  if (found == view.documents.end()) {
+    return false;
+  }
+  out.setGeneration(found->digest.generation);
+  out.setHash(found->digest.hash);
+  if (found->text.size() < kDeflateFrom) {
+    out.setBody(Bytes(found->text));
+    return true;
+  }
+  out.setBody(Bytes(Deflate(found->text)));
+  out.setDeflated(true);
+  out.setTextBytes(static_cast<std::uint32_t>(found->text.size()));
+  return true;
+}
+
+absl::StatusOr<std::optional<Document>> ReadDocument(wire::Document::Reader frame) {
+  if (frame.getGeneration() == 0 && frame.getBody().size() == 0) {
+    return std::optional<Document>();
+  }
+  Document document;
+  document.digest = {std::string(frame.getKey().cStr()), frame.getGeneration(), frame.getHash()};
+  const auto body = frame.getBody();
+  const std::string_view bytes(reinterpret_cast<const char*>(body.begin()), body.size());
+  if (!frame.getDeflated()) {
+    document.text = std::string(bytes);
+    return std::optional<Document>(std::move(document));
+  }
+  absl::StatusOr<std::string> text = Inflate(bytes, frame.getTextBytes());
+  if (!text.ok()) {
+    return text.status();
+  }
+  document.text = *std::move(text);
+  return std::optional<Document>(std::move(document));
+}
+
+std::string Deflate(std::string_view text) {
+  zlib::deflate_stream stream;
+  // Level 6 with a 32 KB window, the usual default of deflate.
+  stream.reset(6, 15, 8, zlib::Strategy::normal);
+  std::string out(stream.upper_bound(text.size()) + 64, '\0');
+  zlib::z_params params;
+  params.next_in = text.data();
+  params.avail_in = text.size();
+  params.next_out = out.data();
+  params.avail_out = out.size();
+  boost::system::error_code error;
+  stream.write(params, zlib::Flush::finish, error);
+  out.resize(params.total_out);
+  return out;
+}
+
+absl::StatusOr<std::string> Inflate(std::string_view bytes, std::size_t text_bytes) {
+  if (text_bytes > kTextLimit) {
+    return absl::InvalidArgumentError(absl::StrCat("document of ", text_bytes, " bytes"));
+  }
+  zlib::inflate_stream stream;
+  stream.reset(15);
+  std::string text(text_bytes + 1, '\0');
+  zlib::z_params params;
+  params.next_in = bytes.data();
+  params.avail_in = bytes.size();
+  params.next_out = text.data();
+  params.avail_out = text.size();
+  boost::system::error_code error;
+  stream.write(params, zlib::Flush::finish, error);
+  if (error != zlib::error::end_of_stream || params.total_out != text_bytes) {
+    return absl::InvalidArgumentError("damaged document body");
+  }
+  text.resize(text_bytes);
+  return text;
+}
+
+}  // namespace ibishold
--- a/src/control/view_frames.cc
+++ b/src/control/view_frames.cc
@@ -158,18 +158,4 @@
   return ControlViewPtr(std::move(view));
 }
 
-bool WriteDocument(const ControlView& view,
-                   wire::GetDocument::Reader request,
-                   wire::Document::Builder out) {
-  const std::string_view key = request.getKey().cStr();
-  const auto found = std::find_if(view.documents.begin(), view.documents.end(),
-                                  [&](const Document& each) { return each.digest.key == key; });
-  if (found == view.documents.end()) {
-    out.setKey(request.getKey());
-    return false;
-  }
-  WriteBody(*found, out);
-  return true;
-}
-
 }  // namespace ibishold
--- /dev/null
+++ b/src/membership/heartbeats.cc
@@ -0,0 +1,248 @@
+#include <algorithm>
+#include <utility>
+
+#include "ibishold/membership.h"
+
+namespace ibishold {
+
+namespace {
+
+// Successors in one heartbeat: recent ones, and one of all by turns for VMs that started later.
+constexpr std::size_t kSuccessorsPerHeartbeat = 3;
+
+}  // namespace
+
+void Membership::OnDatagram(const std::string& address,
+                            const HeartbeatMessage& message,
+                            TimePoint now,
+                            MembershipActions& actions) {
+  if (message.vm == this->options.vm) {
+    // Another process under this VM's name; facts decide which of the two is newer.
+    this->ApplySelfFact({message.vm, message.incarnation, message.state}, now);
+    return;
+  }
+  const VmFact known = this->table.FactOf(message.vm);
+  const bool outdated = message.incarnation < known.incarnation;
+  const bool lost = message.incarnation == known.incarnation && known.state == VmState::kLost;
+  if (!outdated) {
+    if (!lost) {
+      this->silence.Heard(message.vm, now);
+    }
+    this->ApplyFact({message.vm, message.incarnation, message.state}, now);
+  }
+  bool refused = false;
+  for (const VmFact& fact : message.facts) {
+    if (fact.vm == this->options.vm) {
+      refused =
+          refused || (fact.incarnation >= this->own_incarnation &&
+                      (fact.state == VmState::kLost || fact.incarnation > this->own_incarnation));
+      this->ApplySelfFact(fact, now);
+    } else {
+      this->ApplyFact(fact, now);
+    }
+  }
+  if (message.acknowledgement) {
+    this->heard_peer = true;
+    if (!refused && !outdated) {
+      this->hold.Acknowledged(message.vm, message.sequence);
+    }
+  } else {
+    for (const SilentVm& report : message.silent) {
+      this->ApplyReport(message.vm, report, now);
+    }
+  }
+  for (const auto& [incarnation, vm] : message.successors) {
+    this->AddSuccessor(incarnation, vm, now);
+  }
+  this->exchange.Offered(address, message.digests, this->documents, now, actions);
+  if (message.acknowledgement) {
+    return;
+  }
+  const bool differ = message.digests != this->documents.digests();
+  if (message.sequence == 0 && !differ && !lost && !outdated) {
+    return;
+  }
+  const bool counts = this->silence.MayAcknowledge(message.vm, message.incarnation, now);
+  HeartbeatMessage answer = this->Message(true, counts ? message.sequence : 0, differ);
+  if (lost || outdated) {
+    answer.facts.insert(answer.facts.begin(), known);
+  }
+  actions.push_back(SendDatagram{address, std::move(answer)});
+}
+
+void Membership::ApplyFact(const VmFact& fact, TimePoint now) {
+  const VmFact before = this->table.FactOf(fact.vm);
+  if (!this->table.Apply(fact)) {
+    return;
+  }
+  const VmFact after = this->table.FactOf(fact.vm);
+  const bool bad_news = after.state > before.state || after.state == VmState::kLost;
+  const bool good_news = after.state < before.state;
+  if (bad_news || good_news || fact.vm == this->options.vm) {
+    this->facts.Add(fact, this->documents.vms() ? this->documents.vms()->vms.size() : 1);
+    this->RequestPush(now);
+  }
+  this->changed = true;
+  if ((bad_news || good_news) && this->documents.vms()) {
+    this->schedule.SetRole(IsWatcher(this->options.vm, this->options.data_centre,
+                                     *this->table.Merged(), this->options.watchers_per_data_centre),
+                           this->documents.vms()->vms.size(), now);
+  }
+}
+
+void Membership::ApplySelfFact(const VmFact& fact, TimePoint now) {
+  if (fact.incarnation > this->own_incarnation) {
+    // A newer run of this VM is known: this process was replaced and must not return.
+    this->superseded = true;
+    this->changed = true;
+    return;
+  }
+  if (fact.incarnation < this->own_incarnation || fact.state != VmState::kLost || this->self_lost) {
+    return;
+  }
+  // Others may use this run's slots by now. It gives them up and returns with a new incarnation.
+  this->self_lost = true;
+  this->hold.Reset();
+  this->ApplyFact(fact, now);
+}
+
+void Membership::ApplyReport(const VmId& reporter, const SilentVm& report, TimePoint now) {
+  const VmFact known = this->table.FactOf(report.vm);
+  if (report.incarnation != known.incarnation || known.state == VmState::kLost) {
+    return;
+  }
+  if (this->silence.Report(reporter, report, now)) {
+    this->ApplyFact({report.vm, report.incarnation, VmState::kLost}, now);
+  }
+}
+
+void Membership::SendHeartbeats(TimePoint now, MembershipActions& actions) {
+  if (this->self_lost) {
+    this->self_lost = false;
+    ++this->own_incarnation;
+    this->ApplyFact({this->options.vm, this->own_incarnation, this->OwnState()}, now);
+  }
+  if (!this->documents.vms()) {
+    return;
+  }
+  ++this->sequence;
+  this->hold.Sent(this->sequence, now);
+  for (const VmId& monitor : this->hold.monitors()) {
+    if (const VmEntry* entry = this->table.Published(monitor)) {
+      actions.push_back(SendDatagram{entry->address, this->Message(false, this->sequence, true)});
+    }
+  }
+  if (const VmEntry* peer = this->RandomPeer(true)) {
+    actions.push_back(SendDatagram{peer->address, this->Message(false, this->sequence, true)});
+  }
+}
+
+void Membership::SendReports(TimePoint now, MembershipActions& actions) {
+  for (const SilenceDetector::Silent& silent : this->silence.SilentVms(now)) {
+    const VmFact known = this->table.FactOf(silent.vm);
+    if (known.state == VmState::kLost) {
+      continue;
+    }
+    const SilentVm report{silent.vm, known.incarnation};
+    this->ApplyReport(this->options.vm, report, now);
+    for (const VmId& monitor : silent.monitors) {
+      const VmEntry* entry = this->table.Published(monitor);
+      if (monitor == this->options.vm || entry == nullptr) {
+        continue;
+      }
+      HeartbeatMessage message = this->Message(false, 0, true);
+      message.silent.push_back(report);
+      actions.push_back(SendDatagram{entry->address, std::move(message)});
+    }
+  }
+}
+
+void Membership::Push(MembershipActions& actions) {
+  this->push_at = TimePoint::max();
+  if (!this->documents.vms()) {
+    return;
+  }
+  std::set<VmId> sent;
+  for (std::size_t i = 0; i < this->options.push_fanout; ++i) {
+    const VmEntry* peer = this->RandomPeer(false);
+    if (peer != nullptr && sent.insert(peer->id).second) {
+      actions.push_back(SendDatagram{peer->address, this->Message(false, 0, true)});
+    }
+  }
+}
+
+HeartbeatMessage Membership::Message(bool acknowledgement,
+                                     std::uint64_t message_sequence,
+                                     bool with_digests) {
+  HeartbeatMessage message;
+  message.acknowledgement = acknowledgement;
+  message.vm = this->options.vm;
+  message.incarnation = this->own_incarnation;
+  message.sequence = message_sequence;
+  message.state = this->OwnState();
+  if (with_digests) {
+    message.digests = this->documents.digests();
+  }
+  message.facts = this->facts.Take(this->options.facts_per_heartbeat);
+  while (!this->fresh_successors.empty() &&
+         message.successors.size() + 1 < kSuccessorsPerHeartbeat) {
+    auto [incarnation, left] = this->fresh_successors.front();
+    this->fresh_successors.pop_front();
+    const auto found = this->successors.find(incarnation);
+    if (found != this->successors.end()) {
+      message.successors.push_back(*found);
+      if (left > 1) {
+        this->fresh_successors.emplace_back(incarnation, left - 1);
+      }
+    }
+    if (this->fresh_successors.size() < kSuccessorsPerHeartbeat) {
+      break;  // do not repeat the same few within one message
+    }
+  }
+  if (!acknowledgement && !this->successors.empty()) {
+    auto turn = this->successors.upper_bound(this->successor_cursor);
+    if (turn == this->successors.end()) {
+      turn = this->successors.begin();
+    }
+    this->successor_cursor = turn->first;
+    message.successors.push_back(*turn);
+  }
+  return message;
+}
+
+const VmEntry* Membership::RandomPeer(bool elsewhere) {
+  const std::shared_ptr<const VmList> list = this->table.Merged();
+  if (!list || list->vms.empty()) {
+    return nullptr;
+  }
+  // A few draws find a live VM unless nearly all are gone; then the round is skipped.
+  for (int attempt = 0; attempt < 16; ++attempt) {
+    const VmEntry& entry = list->vms[this->random.Below(list->vms.size())];
+    const bool own_centre = entry.data_centre == this->options.data_centre;
+    if (entry.id == this->options.vm || (elsewhere && own_centre && attempt < 12)) {
+      continue;
+    }
+    // Lost VMs get some heartbeats too: a partition that ended is found by them.
+    if (entry.state == VmState::kLost && !elsewhere) {
+      continue;
+    }
+    return this->table.Published(entry.id);
+  }
+  return nullptr;
+}
+
+std::optional<std::string> Membership::RandomPeerAddress() {
+  if (const VmEntry* peer = this->RandomPeer(false)) {
+    return peer->address;
+  }
+  if (this->options.seeds.empty()) {
+    return std::nullopt;
+  }
+  return this->options.seeds[this->random.Below(this->options.seeds.size())];
+}
+
+VmState Membership::OwnState() const {
+  return this->leaving ? VmState::kLeaving : VmState::kLive;
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,227 @@
+#include "ibishold/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishold {
+
+Membership::Membership(MembershipOptions given)
+    : options(std::move(given)),
+      random(this->options.seed),
+      own_incarnation(this->options.incarnation),
+      hold(this->options.acknowledgement_limit),
+      // A report is repeated with every heartbeat; it counts for a few of them.
+      silence(this->options.vm, this->options.loss_limit, this->options.heartbeat_interval * 5),
+      exchange(this->options.fetch_limit),
+      schedule(this->options, this->random) {
+  for (const std::string_view key : {kVmsKey, kTableKey, kTopologyKey}) {
+    this->missing.emplace(key, Missing{});
+  }
+}
+
+void Membership::Start(TimePoint now, MembershipActions& actions) {
+  this->started_at = now;
+  this->ticked_at = now;
+  // VMs that start together spread their heartbeats and their first calls over one interval.
+  const Duration phase(static_cast<Duration::rep>(
+      this->random.Unit() * static_cast<double>(this->options.heartbeat_interval.count())));
+  this->heartbeat_at = now + phase;
+  for (auto& [key, state] : this->missing) {
+    state.ask_at = now + (this->options.seeds.empty() ? phase : Duration{});
+  }
+  this->changed = true;
+  this->Tick(now, actions);
+}
+
+void Membership::Tick(TimePoint now, MembershipActions& actions) {
+  if (now - this->ticked_at > this->options.gap_limit) {
+    this->silence.Resume(now);
+  }
+  this->ticked_at = now;
+  this->exchange.Expire(this->documents, now, actions);
+  this->Bootstrap(now, actions);
+  this->schedule.Plan(this->documents, now, actions);
+  if (this->push_at <= now) {
+    this->Push(actions);
+  }
+  if (this->heartbeat_at <= now) {
+    this->SendHeartbeats(now, actions);
+    this->SendReports(now, actions);
+    // Counted from now, so that a process that was paused does not send a burst.
+    this->heartbeat_at = now + this->options.heartbeat_interval;
+  }
+}
+
+TimePoint Membership::NextWake(TimePoint now) {
+  TimePoint next = std::min(
+      {this->heartbeat_at, this->push_at, this->exchange.NextWake(), this->schedule.NextWake(now)});
+  for (const auto& [key, state] : this->missing) {
+    if (!this->exchange.Pending(key) && !this->schedule.Reading(key) && !state.absent) {
+      next = std::min(next, state.ask_at);
+    }
+  }
+  return next;
+}
+
+void Membership::OnPlatform(std::uint64_t call,
+                            absl::StatusOr<std::optional<std::string>> text,
+                            TimePoint now,
+                            MembershipActions& actions) {
+  const bool absent = absl::IsNotFound(text.status());
+  const std::string key = this->schedule.Ended(call, !text.ok(), now);
+  if (key.empty()) {
+    return;
+  }
+  const auto state = this->missing.find(key);
+  if (state != this->missing.end()) {
+    state->second.absent = absent;
+    // Peers are asked again before the next call.
+    state->second.asked = 0;
+    state->second.waited = false;
+    state->second.ask_at = now + this->random.Jitter(this->options.minimum_backoff * 2, 0.5);
+  }
+  if (text.ok() && text->has_value()) {
+    this->Accept({{key, 0, 0}, *std::move(*text)}, now);
+  }
+  this->Bootstrap(now, actions);
+  this->schedule.Plan(this->documents, now, actions);
+}
+
+void Membership::OnDocument(std::uint64_t call,
+                            absl::StatusOr<std::optional<Document>> document,
+                            TimePoint now,
+                            MembershipActions& actions) {
+  if (document.ok() && document->has_value()) {
+    this->Accept(*std::move(*document), now);
+  }
+  this->exchange.Ended(call, this->documents, now, actions);
+  this->Bootstrap(now, actions);
+}
+
+void Membership::Leave(TimePoint now) {
+  if (this->leaving) {
+    return;
+  }
+  this->leaving = true;
+  this->ApplyFact({this->options.vm, this->own_incarnation, VmState::kLeaving}, now);
+}
+
+void Membership::AddSuccessor(Incarnation incarnation, const VmId& vm, TimePoint now) {
+  if (!this->successors.emplace(incarnation, vm).second) {
+    return;
+  }
+  if (this->successors.size() > this->options.successor_limit) {
+    // Incarnations are start times, so the first one is the oldest.
+    this->successors.erase(this->successors.begin());
+  }
+  this->fresh_successors.emplace_back(incarnation, 24);
+  this->changed = true;
+  this->RequestPush(now);
+}
+
+bool Membership::TakeChange(TimePoint now) {
+  const bool hold_now = now < this->HoldUntil();
+  const bool ready_now = this->ready(now);
+  const bool result =
+      this->changed || hold_now != this->published_hold || ready_now != this->published_ready;
+  this->changed = false;
+  this->published_hold = hold_now;
+  this->published_ready = ready_now;
+  return result;
+}
+
+ControlView Membership::View(TimePoint now) {
+  ControlView view;
+  view.topology = this->documents.topology();
+  view.table = this->documents.table();
+  view.vms = this->table.Merged();
+  view.lost_vms = this->table.Lost();
+  view.ready = this->ready(now);
+  view.may_hold_slots = now < this->HoldUntil();
+  view.successors = this->successors;
+  view.documents = this->documents.documents();
+  return view;
+}
+
+TimePoint Membership::HoldUntil() const {
+  if (this->superseded || this->self_lost || !this->documents.vms()) {
+    return TimePoint::min();
+  }
+  return this->hold.HoldUntil();
+}
+
+bool Membership::ready(TimePoint now) const {
+  if (!this->documents.topology() || !this->documents.vms()) {
+    return false;
+  }
+  // Without the table, work could go to a data centre that operators have taken out.
+  const auto table_missing = this->missing.find(std::string(kTableKey));
+  if (table_missing != this->missing.end() && !table_missing->second.absent) {
+    return false;
+  }
+  // The platform may be stale; a peer's digests show whether a newer document exists.
+  return this->heard_peer || now - this->started_at >= this->options.contact_limit ||
+         this->documents.vms()->vms.size() <= 1;
+}
+
+bool Membership::Accept(Document document, TimePoint now) {
+  const std::string key = document.digest.key;
+  if (!Applied(this->documents.Offer(std::move(document)))) {
+    return false;
+  }
+  this->missing.erase(key);
+  this->changed = true;
+  if (key == kVmsKey) {
+    this->table.SetPublished(this->documents.vms());
+    this->ListChanged(now);
+  }
+  this->RequestPush(now);
+  return true;
+}
+
+void Membership::ListChanged(TimePoint now) {
+  const VmList& list = *this->documents.vms();
+  this->hold.SetMonitors(
+      MonitorsOf(this->options.vm, this->options.data_centre, list, this->options.monitors));
+  this->silence.SetPublished(list, this->options.monitors, now);
+  this->schedule.SetRole(IsWatcher(this->options.vm, this->options.data_centre,
+                                   *this->table.Merged(), this->options.watchers_per_data_centre),
+                         list.vms.size(), now);
+}
+
+void Membership::Bootstrap(TimePoint now, MembershipActions& actions) {
+  for (auto& [key, state] : this->missing) {
+    if (state.absent || state.ask_at > now || this->exchange.Pending(key) ||
+        this->schedule.Reading(key)) {
+      continue;
+    }
+    const std::optional<std::string> peer = this->RandomPeerAddress();
+    if (!peer && key != kVmsKey && !this->documents.vms() && !this->schedule.Reading("vms") &&
+        this->missing.contains(std::string(kVmsKey))) {
+      // The list is read first; it names peers that have the rest.
+      state.ask_at = now + this->options.peer_interval;
+      continue;
+    }
+    if (peer && state.asked < this->options.peers_asked_first) {
+      ++state.asked;
+      state.ask_at = now + this->random.Jitter(this->options.peer_interval, 0.5);
+      this->exchange.Ask(*peer, key, now, actions);
+      continue;
+    }
+    if (peer && !state.waited && !this->schedule.watcher()) {
+      const std::chrono::duration<double> spread(
+          static_cast<double>(this->documents.vms() ? this->documents.vms()->vms.size() : 1) /
+          this->options.first_reads_per_second * this->random.Unit());
+      state.waited = true;
+      state.ask_at = now + std::chrono::duration_cast<Duration>(spread);
+      continue;
+    }
+    this->schedule.RequestRead(key, now);
+  }
+}
+
+void Membership::RequestPush(TimePoint now) {
+  this->push_at = std::min(this->push_at, now + this->options.push_delay);
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/src/membership/vm_table.cc
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <utility>
+
+#include "ibishold/membership.h"
+
+namespace ibishold {
+
+namespace {
+
+// Facts about VMs that no list names yet; more than any list can hold.
+constexpr std::size_t kFactLimit = 8192;
+
+}  // namespace
+
+bool VmTable::SetPublished(std::shared_ptr<const VmList> list) {
+  this->published_list = std::move(list);
+  this->merged.reset();
+  this->places.clear();
+  for (std::size_t i = 0; i < this->published_list->vms.size(); ++i) {
+    this->places.emplace(this->published_list->vms[i].id.value, i);
+  }
+  if (this->facts.size() > kFactLimit / 2) {
+    std::erase_if(this->facts,
+                  [&](const auto& item) { return !this->places.contains(item.first); });
+  }
+  return true;
+}
+
+bool VmTable::Apply(const VmFact& fact) {
+  const auto known = this->facts.find(fact.vm.value);
+  const VmEntry* entry = this->Published(fact.vm);
+  const VmFact current = this->FactOf(fact.vm);
+  const bool newer = fact.incarnation > current.incarnation;
+  const bool worse = fact.incarnation == current.incarnation && fact.state > current.state;
+  if (!newer && !worse) {
+    return false;
+  }
+  if (known == this->facts.end() && this->facts.size() >= kFactLimit) {
+    return false;
+  }
+  this->facts[fact.vm.value] = fact;
+  if (entry != nullptr) {
+    this->merged.reset();
+  }
+  return true;
+}
+
+VmFact VmTable::FactOf(const VmId& vm) const {
+  VmFact result{vm, 0, VmState::kLive};
+  if (const VmEntry* entry = this->Published(vm)) {
+    result.incarnation = entry->incarnation;
+    result.state = entry->state;
+  }
+  const auto known = this->facts.find(vm.value);
+  if (known == this->facts.end() || known->second.incarnation < result.incarnation) {
+    return result;
+  }
+  if (known->second.incarnation > result.incarnation) {
+    return known->second;
+  }
+  result.state = std::max(result.state, known->second.state);
+  return result;
+}
+
+const VmEntry* VmTable::Published(const VmId& vm) const {
+  const auto place = this->places.find(vm.value);
+  return place == this->places.end() ? nullptr : &this->published_list->vms[place->second];
+}
+
+std::shared_ptr<const VmList> VmTable::Merged() {
+  if (this->merged || !this->published_list) {
+    return this->merged;
+  }
+  auto list = std::make_shared<VmList>(*this->published_list);
+  for (VmEntry& entry : list->vms) {
+    const VmFact fact = this->FactOf(entry.id);
+    entry.state = fact.state;
+    entry.incarnation = fact.incarnation;
+  }
+  this->merged = std::move(list);
+  return this->merged;
+}
+
+std::set<VmId> VmTable::Lost() {
+  std::set<VmId> lost;
+  if (const auto list = this->Merged()) {
+    for (const VmEntry& entry : list->vms) {
+      if (entry.state == VmState::kLost) {
+        lost.insert(entry.id);
+      }
+    }
+  }
+  return lost;
+}
+
+}  // namespace ibishold
--- a/tests/config_store/config_store_test.cc
+++ b/tests/config_store/config_store_test.cc
@@ -48,7 +48,9 @@
     Document document = TableDocument(4, 40);
     document.digest.generation = 900;
     CHECK(store.Offer(document) == OfferResult::kOlder);
-    CHECK(store.Offer(TableDocument(6, 60)) == OfferResult::kAccepted);
+    document = TableDocument(6, 60);
+    document.digest.generation = 900;
+    CHECK(store.Offer(document) == OfferResult::kAccepted);
     CHECK(store.Find(kTableKey)->digest.generation == 6);
   }
   SUBCASE("keys are independent") {
