--- /dev/null
+++ b/tests/membership/fake_fleet.h
@@ -0,0 +1,529 @@
+#ifndef TESTS_MEMBERSHIP_FAKE_FLEET_H_
+#define TESTS_MEMBERSHIP_FAKE_FLEET_H_
+
+// A fleet of Membership objects with a platform and a network in virtual time.
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "ibishold/control.h"
+#include "ibishold/membership.h"
+
+namespace ibishold {
+
+struct FakeFleetOptions {
+  std::vector<std::size_t> centres = {5, 5, 4};  // VMs in each data centre
+  std::uint64_t seed = 1;
+  Duration near = std::chrono::microseconds(200);    // one way within a data centre
+  Duration far = std::chrono::microseconds(1500);    // one way between data centres
+  Duration platform = std::chrono::milliseconds(3);  // one way
+  double datagram_loss = 0;                          // share of heartbeats lost
+  bool seeds = false;                                // VMs know three peers from settings
+  bool measure_cpu = false;                          // per call of Membership
+  bool build_views = false;                          // as the control thread does
+};
+
+class FakeFleet {
+ public:
+  struct Node {
+    VmId vm;
+    DataCentre data_centre;
+    std::string address;
+    Incarnation incarnation = 0;
+    std::unique_ptr<Membership> membership;  // null: not running
+    std::uint64_t run = 0;                   // events of earlier runs are dropped
+    bool listed = false;
+    VmState listed_state = VmState::kLive;
+    bool frozen = false;
+    bool cut_from_platform = false;
+    int side = 0;  // VMs of different sides do not reach each other
+    TimePoint wake_at = TimePoint::max();
+    std::vector<std::function<void()>> inbox;  // while frozen
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t datagrams_sent = 0;
+    Duration cpu{};
+    ControlViewPtr view;  // with build_views
+  };
+
+  explicit FakeFleet(FakeFleetOptions given)
+      : options(std::move(given)), random(this->options.seed) {
+    std::size_t index = 0;
+    for (std::size_t centre = 0; centre < this->options.centres.size(); ++centre) {
+      for (std::size_t i = 0; i < this->options.centres[centre]; ++i, ++index) {
+        Node node;
+        node.vm = VmId(absl::StrCat("vm-", index));
+        node.data_centre = DataCentre(absl::StrCat("dc-", centre));
+        node.address = absl::StrCat("10.0.", index / 250, ".", index % 250);
+        node.listed = true;
+        this->by_address[node.address] = index;
+        this->nodes.push_back(std::move(node));
+      }
+    }
+    this->PublishTopology();
+    this->PublishTable("in");
+  }
+
+  // ---- Control of the run ----
+
+  void StartAll() {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      this->nodes[i].incarnation = this->NewIncarnation();
+    }
+    this->PublishVms();
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      this->Start(i, this->nodes[i].incarnation);
+    }
+  }
+
+  void Start(std::size_t index, Incarnation incarnation = 0) {
+    Node& node = this->nodes[index];
+    node.incarnation = incarnation == 0 ? this->NewIncarnation() : incarnation;
+    MembershipOptions settings;
+    settings.vm = node.vm;
+    settings.data_centre = node.data_centre;
+    settings.incarnation = node.incarnation;
+    settings.seed = this->random.Next();
+    if (this->options.seeds) {
+      for (int i = 0; i < 3; ++i) {
+        settings.seeds.push_back(this->nodes[this->random.Below(this->nodes.size())].address);
+      }
+    }
+    node.membership = std::make_unique<Membership>(settings);
+    node.frozen = false;
+    node.inbox.clear();
+    node.wake_at = TimePoint::max();
+    ++node.run;
+    this->Call(index, [this](Membership& membership, MembershipActions& actions) {
+      membership.Start(this->now, actions);
+    });
+  }
+
+  void Stop(std::size_t index) {
+    this->nodes[index].membership.reset();
+    ++this->nodes[index].run;
+    this->nodes[index].frozen = false;
+  }
+
+  void Freeze(std::size_t index) { this->nodes[index].frozen = true; }
+  void Wake(std::size_t index) {
+    Node& node = this->nodes[index];
+    node.frozen = false;
+    for (auto& event : std::exchange(node.inbox, {})) {
+      event();
+    }
+  }
+
+  void RunFor(Duration duration) { this->RunUntil(this->now + duration); }
+
+  void RunUntil(TimePoint end) {
+    while (!this->events.empty() && this->events.top().at <= end) {
+      Event event = this->events.top();
+      this->events.pop();
+      this->now = event.at;
+      event.action();
+    }
+    this->now = end;
+  }
+
+  // Runs until the condition holds; the time it took, or `limit` if it never did.
+  Duration RunUntilTrue(const std::function<bool()>& condition,
+                        Duration limit,
+                        Duration step = std::chrono::milliseconds(10)) {
+    const TimePoint start = this->now;
+    while (!condition() && this->now - start < limit) {
+      this->RunFor(step);
+    }
+    return this->now - start;
+  }
+
+  // ---- Platform ----
+
+  void Publish(const std::string& key, std::uint64_t generation, std::string text) {
+    this->published[key] = {generation, std::move(text)};
+    if (!this->platform_stale) {
+      this->served = this->published;
+      this->AnswerWatches();
+    }
+  }
+
+  std::uint64_t PublishTable(const std::string& state, int weight = 100) {
+    const std::uint64_t generation = ++this->generations["table"];
+    this->Publish("table", generation,
+                  absl::StrCat(R"({"generation":)", generation,
+                               R"(,"rows":[{"service":"depot-desk","data_centre":"dc-0","state":")",
+                               state, R"(","weight":)", weight, "}]}"));
+    return generation;
+  }
+
+  std::uint64_t PublishTopology() {
+    const std::uint64_t generation = ++this->generations["topology"];
+    this->Publish("topology", generation,
+                  absl::StrCat(R"({"generation":)", generation,
+                               R"(,"partition_map_version":1,"services":[]})"));
+    return generation;
+  }
+
+  std::uint64_t PublishVms() {
+    VmList list;
+    list.generation = ++this->generations["vms"];
+    for (const Node& node : this->nodes) {
+      if (node.listed) {
+        list.vms.push_back(
+            {node.vm, node.data_centre, node.address, node.incarnation, node.listed_state});
+      }
+    }
+    this->Publish("vms", list.generation, ToJson(list));
+    return list.generation;
+  }
+
+  // ---- Observation ----
+
+  bool Running(std::size_t index) const {
+    return this->nodes[index].membership && !this->nodes[index].frozen;
+  }
+
+  std::size_t CountHaving(const std::string& key, std::uint64_t generation) const {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (!this->Running(i)) {
+        continue;
+      }
+      const Document* document = this->nodes[i].membership->store().Find(key);
+      count += document != nullptr && document->digest.generation >= generation ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::size_t CountRunning() const {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      count += this->Running(i) ? 1 : 0;
+    }
+    return count;
+  }
+
+  bool AllHave(const std::string& key, std::uint64_t generation) const {
+    return this->CountHaving(key, generation) == this->CountRunning();
+  }
+
+  // Running VMs that see this VM in the state.
+  std::size_t CountSeeing(std::size_t subject, VmState state) {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (!this->Running(i) || i == subject) {
+        continue;
+      }
+      const ControlView view = this->nodes[i].membership->View(this->now);
+      const VmEntry* entry = view.vms ? view.vms->Find(this->nodes[subject].vm) : nullptr;
+      count += entry != nullptr && entry->state == state ? 1 : 0;
+    }
+    return count;
+  }
+
+  bool MayHold(std::size_t index) const {
+    const auto& membership = this->nodes[index].membership;
+    return membership && this->now < membership->HoldUntil();
+  }
+
+  std::size_t CountHolding() const {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      count += this->Running(i) && this->MayHold(i) ? 1 : 0;
+    }
+    return count;
+  }
+
+  void ResetCounters() {
+    this->platform_calls = 0;
+    this->calls_by_second.clear();
+    for (Node& node : this->nodes) {
+      node.bytes_sent = 0;
+      node.bytes_received = 0;
+      node.datagrams_sent = 0;
+      node.cpu = {};
+    }
+  }
+
+  std::uint64_t PeakCallsPerSecond() const {
+    std::uint64_t peak = 0;
+    for (const auto& [second, calls] : this->calls_by_second) {
+      peak = std::max(peak, calls);
+    }
+    return peak;
+  }
+
+  // Calls an operation of one VM as its control thread does.
+  void Call(std::size_t index,
+            const std::function<void(Membership&, MembershipActions&)>& operation) {
+    Node& node = this->nodes[index];
+    if (!node.membership) {
+      return;
+    }
+    MembershipActions actions;
+    const TimePoint before = this->options.measure_cpu ? BootClock::now() : TimePoint{};
+    operation(*node.membership, actions);
+    if (node.membership->TakeChange(this->now) && this->options.build_views) {
+      node.view = std::make_shared<ControlView>(node.membership->View(this->now));
+    }
+    if (this->options.measure_cpu) {
+      node.cpu += BootClock::now() - before;
+    }
+    for (MembershipAction& action : actions) {
+      std::visit([&](auto& each) { this->Execute(index, each); }, action);
+    }
+    this->ScheduleWake(index);
+  }
+
+  FakeFleetOptions options;
+  Random random;
+  TimePoint now{std::chrono::hours(1000)};
+  std::vector<Node> nodes;
+  bool platform_down = false;   // calls fail
+  bool platform_stale = false;  // serves what it served when this was set
+  bool watches_silent = false;  // waiting watches never end
+  std::uint64_t platform_calls = 0;
+  std::map<std::int64_t, std::uint64_t> calls_by_second;
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    friend bool operator<(const Event& left, const Event& right) {
+      return left.at != right.at ? left.at > right.at : left.order > right.order;
+    }
+  };
+  struct Value {
+    std::uint64_t generation = 0;
+    std::string text;
+  };
+  struct Waiting {
+    std::size_t index = 0;
+    std::uint64_t run = 0;
+    CallPlatform call;
+    TimePoint deadline;
+  };
+
+  Incarnation NewIncarnation() {
+    return 1'700'000'000'000 +
+           static_cast<Incarnation>(this->now.time_since_epoch().count() / 1000000) +
+           ++this->incarnations;
+  }
+
+  void At(TimePoint at, std::function<void()> action) {
+    this->events.push({at, ++this->event_order, std::move(action)});
+  }
+
+  void ScheduleWake(std::size_t index) {
+    Node& node = this->nodes[index];
+    const TimePoint next =
+        std::max(node.membership->NextWake(this->now), this->now + std::chrono::microseconds(100));
+    if (next >= node.wake_at && node.wake_at > this->now) {
+      return;
+    }
+    node.wake_at = next;
+    this->ToNode(index, next, [this, index, next] {
+      if (this->nodes[index].wake_at != next) {
+        return;
+      }
+      this->nodes[index].wake_at = TimePoint::max();
+      this->Call(index, [this](Membership& membership, MembershipActions& actions) {
+        membership.Tick(this->now, actions);
+      });
+    });
+  }
+
+  // Delivers an event to the present run of a VM, after its pause if it is frozen.
+  void ToNode(std::size_t index, TimePoint at, std::function<void()> action) {
+    const std::uint64_t run = this->nodes[index].run;
+    this->At(at, [this, index, run, action = std::move(action)] {
+      Node& node = this->nodes[index];
+      if (node.run != run || !node.membership) {
+        return;
+      }
+      if (node.frozen) {
+        node.inbox.push_back([this, index, run, action] {
+          if (this->nodes[index].run == run) {
+            action();
+          }
+        });
+        return;
+      }
+      action();
+    });
+  }
+
+  bool Reaches(std::size_t from, std::size_t to) const {
+    return this->nodes[from].side == this->nodes[to].side;
+  }
+
+  Duration Latency(std::size_t from, std::size_t to) {
+    const bool near = this->nodes[from].data_centre == this->nodes[to].data_centre;
+    return this->random.Jitter(near ? this->options.near : this->options.far, 0.5);
+  }
+
+  void Execute(std::size_t from, const SendDatagram& action) {
+    const std::string bytes = EncodeDatagram(action.message);
+    // IP and UDP headers.
+    const std::uint64_t size = bytes.size() + 28;
+    Node& sender = this->nodes[from];
+    sender.bytes_sent += size;
+    ++sender.datagrams_sent;
+    const auto place = this->by_address.find(action.address);
+    if (place == this->by_address.end() || !this->Reaches(from, place->second) ||
+        this->random.Unit() < this->options.datagram_loss) {
+      return;
+    }
+    const std::size_t to = place->second;
+    this->ToNode(to, this->now + this->Latency(from, to), [this, from, to, bytes, size] {
+      this->nodes[to].bytes_received += size;
+      this->Call(to, [&](Membership& membership, MembershipActions& actions) {
+        const auto message = DecodeDatagram(bytes);
+        if (message.ok()) {
+          membership.OnDatagram(this->nodes[from].address, *message, this->now, actions);
+        }
+      });
+    });
+  }
+
+  void Execute(std::size_t from, const FetchDocument& action) {
+    const auto place = this->by_address.find(action.address);
+    const std::uint64_t call = action.call;
+    const auto answer = [this, from, call](absl::StatusOr<std::optional<Document>> document) {
+      this->Call(from, [&](Membership& membership, MembershipActions& actions) {
+        membership.OnDocument(call, document, this->now, actions);
+      });
+    };
+    const bool reached = place != this->by_address.end() && this->Reaches(from, place->second) &&
+                         this->Running(place->second);
+    if (!reached) {
+      this->ToNode(from, this->now + std::chrono::seconds(1),
+                   [answer] { answer(absl::UnavailableError("no connection")); });
+      return;
+    }
+    const std::size_t to = place->second;
+    // Connection, then request and answer.
+    const Duration trip = this->Latency(from, to) * 4;
+    const std::string key = action.key;
+    this->ToNode(to, this->now + trip / 2, [this, from, to, key, answer, trip] {
+      const Document* found = this->nodes[to].membership->store().Find(key);
+      std::optional<Document> document;
+      if (found != nullptr) {
+        document = *found;
+      }
+      // Handshake, hellos, frame headers.
+      const std::uint64_t size = 700 + (found == nullptr ? 0 : this->PackedSize(*found));
+      this->nodes[to].bytes_sent += size;
+      this->ToNode(from, this->now + trip / 2, [this, from, size, document, answer] {
+        this->nodes[from].bytes_received += size;
+        answer(document);
+      });
+    });
+  }
+
+  std::uint64_t PackedSize(const Document& document) {
+    const auto [place, fresh] = this->packed_sizes.try_emplace(document.digest.hash, 0);
+    if (fresh) {
+      place->second = Deflate(document.text).size();
+    }
+    return place->second;
+  }
+
+  void Execute(std::size_t from, const CallPlatform& action) {
+    ++this->platform_calls;
+    ++this->calls_by_second[this->now.time_since_epoch().count() / 1'000'000'000];
+    // Connection and request headers.
+    this->nodes[from].bytes_sent += 400;
+    if (this->platform_down || this->nodes[from].cut_from_platform) {
+      this->ToNode(from, this->now + this->options.platform, [this, from, action] {
+        this->Answer(from, action, absl::UnavailableError("no connection"));
+      });
+      return;
+    }
+    const std::uint64_t run = this->nodes[from].run;
+    this->At(this->now + this->options.platform, [this, from, run, action] {
+      const auto value = this->served.find(action.key);
+      const bool newer =
+          value != this->served.end() && value->second.generation > action.generation;
+      if (action.conditional && !newer && action.wait > Duration{}) {
+        if (!this->watches_silent) {
+          this->waiting.push_back({from, run, action, this->now + action.wait});
+          this->At(this->now + action.wait, [this] { this->AnswerWatches(); });
+        }
+        return;
+      }
+      this->Reply(from, action);
+    });
+  }
+
+  void Reply(std::size_t from, const CallPlatform& action) {
+    if (this->platform_down || this->nodes[from].cut_from_platform) {
+      return;  // the connection is silent
+    }
+    const auto value = this->served.find(action.key);
+    absl::StatusOr<std::optional<std::string>> answer = absl::NotFoundError("no such key");
+    std::uint64_t size = 400;
+    if (value != this->served.end()) {
+      const bool send = !action.conditional || value->second.generation > action.generation;
+      answer = send ? std::optional<std::string>(value->second.text) : std::nullopt;
+      size += send ? value->second.text.size() : 0;
+    }
+    this->ToNode(from, this->now + this->options.platform, [this, from, action, answer, size] {
+      this->nodes[from].bytes_received += size;
+      this->Answer(from, action, answer);
+    });
+  }
+
+  void Answer(std::size_t from,
+              const CallPlatform& action,
+              const absl::StatusOr<std::optional<std::string>>& answer) {
+    this->Call(from, [&](Membership& membership, MembershipActions& actions) {
+      membership.OnPlatform(action.call, answer, this->now, actions);
+    });
+  }
+
+  void AnswerWatches() {
+    if (this->watches_silent || this->platform_down) {
+      this->waiting.clear();
+      return;
+    }
+    std::vector<Waiting> left;
+    for (Waiting& each : std::exchange(this->waiting, {})) {
+      const auto value = this->served.find(each.call.key);
+      const bool newer =
+          value != this->served.end() && value->second.generation > each.call.generation;
+      if (this->nodes[each.index].run != each.run) {
+        continue;
+      }
+      if (newer || each.deadline <= this->now) {
+        this->Reply(each.index, each.call);
+      } else {
+        left.push_back(std::move(each));
+      }
+    }
+    this->waiting = std::move(left);
+  }
+
+  std::priority_queue<Event> events;
+  std::uint64_t event_order = 0;
+  std::uint64_t incarnations = 0;
+  std::map<std::string, std::size_t> by_address;
+  std::map<std::string, Value> published;
+  std::map<std::string, Value> served;
+  std::map<std::string, std::uint64_t> generations;
+  std::map<std::uint64_t, std::uint64_t> packed_sizes;
+  std::vector<Waiting> waiting;
+};
+
+}  // namespace ibishold
+
+#endif  // TESTS_MEMBERSHIP_FAKE_FLEET_H_
--- /dev/null
+++ b/tests/membership/membership_test.cc
@@ -0,0 +1,266 @@
+#include <doctest/doctest.h>
+
+#include <set>
+#include <vector>
+
+#include "membership/fake_fleet.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// Index of the first VM of each data centre is a multiple of this in the fleets below.
+constexpr std::size_t kPerCentre = 8;
+
+FakeFleet StartedFleet(std::uint64_t seed, double loss = 0.01) {
+  return FakeFleet(
+      {.centres = {kPerCentre, kPerCentre, kPerCentre}, .seed = seed, .datagram_loss = loss});
+}
+
+// Monitors of a VM, as indices.
+std::vector<std::size_t> Monitors(const FakeFleet& fleet, std::size_t index) {
+  const auto& list = *fleet.nodes[index].membership->store().vms();
+  std::vector<std::size_t> result;
+  for (const VmId& vm :
+       MonitorsOf(fleet.nodes[index].vm, fleet.nodes[index].data_centre, list, 5)) {
+    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+      if (fleet.nodes[i].vm == vm) {
+        result.push_back(i);
+      }
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+TEST_CASE("life of one VM in a fleet") {
+  FakeFleet fleet = StartedFleet(3);
+  const std::size_t total = fleet.nodes.size();
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  REQUIRE(fleet.CountHolding() == total);
+
+  SUBCASE("joining") {
+    // Guards against a VM that takes slots before its monitors know it, or never gets to.
+    fleet.Stop(0);
+    fleet.nodes[0].listed = false;
+    fleet.PublishVms();
+    fleet.RunFor(seconds(30));
+    fleet.Start(0);
+    CHECK_FALSE(fleet.MayHold(0));
+    fleet.nodes[0].listed = true;
+    fleet.PublishVms();
+    CHECK(fleet.RunUntilTrue([&] { return fleet.MayHold(0); }, seconds(10)) <= seconds(3));
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+  }
+  SUBCASE("leaving is known everywhere although the list is late") {
+    // Guards against new slots for a VM whose stop the platform's list does not show yet.
+    fleet.Call(0, [&](Membership& membership, MembershipActions&) { membership.Leave(fleet.now); });
+    const Duration took = fleet.RunUntilTrue(
+        [&] { return fleet.CountSeeing(0, VmState::kLeaving) == total - 1; }, seconds(10));
+    CHECK(took <= seconds(3));
+    // A list that still says live, because it lags, takes nothing back.
+    fleet.PublishVms();
+    fleet.RunFor(seconds(5));
+    CHECK(fleet.CountSeeing(0, VmState::kLeaving) == total - 1);
+    // Its next run is live.
+    fleet.Stop(0);
+    fleet.Start(0);
+    fleet.RunFor(seconds(8));
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+  }
+  SUBCASE("sudden death without the platform") {
+    // Guards against slots that stay unused while the platform is down, and against a takeover
+    // before the old holder is certain to have stopped.
+    fleet.platform_stale = true;
+    fleet.Stop(0);
+    fleet.RunFor(seconds(55));
+    CHECK(fleet.CountSeeing(0, VmState::kLost) == 0);
+    fleet.RunFor(seconds(13));
+    CHECK(fleet.CountSeeing(0, VmState::kLost) == total - 1);
+    CHECK(fleet.CountHolding() == total - 1);
+    fleet.Start(0);
+    fleet.RunFor(seconds(8));
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+    CHECK(fleet.MayHold(0));
+  }
+  SUBCASE("a short pause") {
+    // Guards against a process that resumes with a stale view and sends leaf work at once.
+    fleet.Freeze(0);
+    fleet.RunFor(seconds(20));
+    CHECK_FALSE(fleet.MayHold(0));
+    fleet.Wake(0);
+    // The acknowledgements that wait in its socket are old.
+    CHECK_FALSE(fleet.MayHold(0));
+    fleet.RunFor(seconds(3));
+    CHECK(fleet.MayHold(0));
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+  }
+  SUBCASE("a pause longer than the takeover") {
+    // Guards against a VM that uses slots again which others have taken over.
+    const Incarnation before = fleet.nodes[0].membership->incarnation();
+    fleet.Freeze(0);
+    fleet.RunFor(seconds(75));
+    CHECK(fleet.CountSeeing(0, VmState::kLost) == total - 1);
+    fleet.Wake(0);
+    CHECK_FALSE(fleet.MayHold(0));
+    fleet.RunFor(seconds(8));
+    CHECK(fleet.nodes[0].membership->incarnation() > before);
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+    CHECK(fleet.MayHold(0));
+  }
+  SUBCASE("a monitor that was paused accuses nobody") {
+    // Guards against loss reports that count the reporter's own pause as silence.
+    for (const std::size_t monitor : Monitors(fleet, 0)) {
+      fleet.Freeze(monitor);
+    }
+    fleet.RunFor(seconds(90));
+    for (const std::size_t monitor : Monitors(fleet, 0)) {
+      fleet.Wake(monitor);
+    }
+    fleet.RunFor(seconds(20));
+    CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+  }
+  SUBCASE("a process that was replaced") {
+    // Guards against two processes of one VM that both hold its slots.
+    const Incarnation newer = fleet.nodes[0].incarnation + 1000;
+    for (const std::size_t monitor : Monitors(fleet, 0)) {
+      fleet.Call(monitor, [&](Membership& membership, MembershipActions& actions) {
+        HeartbeatMessage message;
+        message.vm = fleet.nodes[0].vm;
+        message.incarnation = newer;
+        membership.OnDatagram("10.9.9.9", message, fleet.now, actions);
+      });
+    }
+    fleet.RunFor(seconds(8));
+    CHECK_FALSE(fleet.MayHold(0));
+  }
+}
+
+TEST_CASE("a partition within a data centre heals") {
+  FakeFleet fleet = StartedFleet(5);
+  const std::size_t total = fleet.nodes.size();
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  // Two of eight VMs are cut off with the platform unreachable for them.
+  for (const std::size_t index : {0, 1}) {
+    fleet.nodes[index].side = 1;
+    fleet.nodes[index].cut_from_platform = true;
+  }
+  fleet.RunFor(seconds(6));
+  // Guards against both sides using the same slots: at most one of five monitors is on their side.
+  CHECK_FALSE(fleet.MayHold(0));
+  CHECK_FALSE(fleet.MayHold(1));
+  fleet.RunFor(seconds(70));
+  CHECK(fleet.CountSeeing(0, VmState::kLost) == total - 2);
+  const std::uint64_t generation = fleet.PublishTable("out");
+  fleet.RunFor(seconds(5));
+  CHECK(fleet.CountHaving("table", generation) == total - 2);
+  for (const std::size_t index : {0, 1}) {
+    fleet.nodes[index].side = 0;
+  }
+  // The platform stays unreachable for them; peers bring them up to date.
+  fleet.RunFor(seconds(15));
+  CHECK(fleet.AllHave("table", generation));
+  CHECK(fleet.CountHolding() == total);
+  CHECK(fleet.CountSeeing(0, VmState::kLive) == total - 1);
+}
+
+TEST_CASE("two regions lose contact for an hour") {
+  FakeFleet fleet = StartedFleet(6);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  for (std::size_t i = 2 * kPerCentre; i < fleet.nodes.size(); ++i) {
+    fleet.nodes[i].side = 1;
+    fleet.nodes[i].cut_from_platform = true;
+  }
+  const std::uint64_t generation = fleet.PublishTable("out");
+  fleet.RunFor(std::chrono::hours(1));
+  // Guards against a region that gives up slots of its own leaves because the other one is away.
+  CHECK(fleet.CountHolding() == fleet.nodes.size());
+  CHECK(fleet.CountHaving("table", generation) == 2 * kPerCentre);
+  for (auto& node : fleet.nodes) {
+    node.side = 0;
+  }
+  CHECK(fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(20)) <=
+        seconds(6));
+}
+
+TEST_CASE("a VM that others declared lost never holds slots with that run") {
+  // Guards against two holders of a slot under random pauses, cuts and losses.
+  std::size_t declared = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    FakeFleet fleet({.centres = {7}, .seed = seed, .datagram_loss = 0.05});
+    fleet.StartAll();
+    fleet.RunFor(seconds(10));
+    fleet.platform_stale = true;
+    Random random(seed);
+    std::vector<TimePoint> until(fleet.nodes.size());
+    bool overlap = false;
+    for (int step = 0; step < 6000; ++step) {
+      const std::size_t index = random.Below(fleet.nodes.size());
+      if (random.Below(300) == 0 && until[index] <= fleet.now) {
+        until[index] = fleet.now + seconds(random.Below(100));
+        if (random.Below(2) == 0) {
+          fleet.Freeze(index);
+        } else {
+          fleet.nodes[index].side = 1 + static_cast<int>(random.Below(2));
+        }
+      }
+      for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+        if (until[i] != TimePoint{} && until[i] <= fleet.now) {
+          until[i] = {};
+          fleet.nodes[i].side = 0;
+          if (fleet.nodes[i].frozen) {
+            fleet.Wake(i);
+          }
+        }
+      }
+      fleet.RunFor(milliseconds(100));
+      for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+        for (std::size_t other = 0; other < fleet.nodes.size(); ++other) {
+          if (i == other || !fleet.Running(other)) {
+            continue;
+          }
+          const ControlView view = fleet.nodes[other].membership->View(fleet.now);
+          const VmEntry* entry = view.vms->Find(fleet.nodes[i].vm);
+          if (entry->state != VmState::kLost) {
+            continue;
+          }
+          ++declared;
+          overlap = overlap || (fleet.MayHold(i) &&
+                                fleet.nodes[i].membership->incarnation() <= entry->incarnation);
+        }
+      }
+    }
+    CAPTURE(seed);
+    CHECK_FALSE(overlap);
+  }
+  CHECK(declared > 0);
+}
+
+TEST_CASE("token successors reach every VM") {
+  // Guards against a token whose home has stopped and whose successor only one VM knows.
+  FakeFleet fleet = StartedFleet(9);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  fleet.Call(0, [&](Membership& membership, MembershipActions&) {
+    membership.AddSuccessor(77, VmId("vm-5"), fleet.now);
+  });
+  fleet.RunFor(seconds(6));
+  for (const auto& node : fleet.nodes) {
+    const auto successors = node.membership->View(fleet.now).successors;
+    CHECK(successors.contains(77));
+  }
+  // A VM that starts later learns it too.
+  fleet.Stop(9);
+  fleet.Start(9);
+  fleet.RunFor(seconds(20));
+  CHECK(fleet.nodes[9].membership->View(fleet.now).successors.contains(77));
+}
+
+}  // namespace ibishold
--- /dev/null
+++ b/tests/membership/outage_test.cc
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "membership/fake_fleet.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("documents during trouble with the platform") {
+  FakeFleet fleet({.seed = 4, .datagram_loss = 0.01});
+  fleet.StartAll();
+  fleet.RunFor(seconds(30));
+  REQUIRE(fleet.AllHave("table", 1));
+  const std::size_t total = fleet.nodes.size();
+
+  SUBCASE("the platform is down for an hour") {
+    fleet.platform_down = true;
+    fleet.RunFor(seconds(60));
+    fleet.ResetCounters();
+    fleet.RunFor(std::chrono::hours(1));
+    // Guards against a fleet that stops, or hammers the platform, while it cannot be reached.
+    CHECK(fleet.CountHolding() == total);
+    CHECK(fleet.PeakCallsPerSecond() <= 2 * total);
+    // A VM that restarts meanwhile gets everything from its peers, because settings name some.
+    fleet.options.seeds = true;
+    fleet.Stop(2);
+    fleet.Start(2);
+    const Duration ready = fleet.RunUntilTrue(
+        [&] { return fleet.nodes[2].membership->ready(fleet.now) && fleet.MayHold(2); },
+        seconds(20));
+    CHECK(ready <= seconds(6));
+    // Back again with a change.
+    fleet.platform_down = false;
+    const std::uint64_t generation = fleet.PublishTable("out");
+    const Duration took =
+        fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30));
+    CHECK(took <= seconds(6));
+  }
+  SUBCASE("the platform serves old documents") {
+    const std::uint64_t newest = fleet.PublishTable("out");
+    fleet.RunFor(seconds(5));
+    fleet.platform_stale = true;
+    fleet.Publish("table", 1, "unused");
+    // A VM restarts beside a platform that serves generation 1 again.
+    fleet.platform_stale = false;
+    fleet.Publish("table", 1, R"({"generation":1,"rows":[]})");
+    fleet.Stop(3);
+    fleet.Start(3);
+    fleet.RunFor(seconds(5));
+    CHECK(fleet.AllHave("table", newest));
+    CHECK(fleet.nodes[3].membership->ready(fleet.now));
+  }
+  SUBCASE("most VMs are cut from the platform") {
+    // Guards against VMs that only the platform can bring up to date.
+    for (std::size_t i = 1; i < total; ++i) {
+      fleet.nodes[i].cut_from_platform = true;
+    }
+    const std::uint64_t generation = fleet.PublishTable("out");
+    const Duration took =
+        fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(60));
+    MESSAGE("one VM reads: " << ToMilliseconds(took) << " ms");
+    // The VM that can read may be one that only polls.
+    CHECK(took <= seconds(13));
+  }
+  SUBCASE("watches go silent") {
+    // Guards against a watch that never ends and hides every later change.
+    fleet.watches_silent = true;
+    fleet.RunFor(seconds(30));
+    for (int change = 0; change < 5; ++change) {
+      const std::uint64_t generation = fleet.PublishTable(change % 2 == 0 ? "out" : "in");
+      const Duration took =
+          fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30));
+      CHECK(took <= seconds(3));
+      const std::uint64_t list = fleet.PublishVms();
+      CHECK(fleet.RunUntilTrue([&] { return fleet.AllHave("vms", list); }, seconds(30)) <=
+            seconds(6));
+    }
+  }
+  SUBCASE("two operators publish one generation") {
+    // Guards against a fleet that stays split when the platform's replicas differ.
+    const std::string first = R"({"generation":9,"rows":[]})";
+    const std::string second = R"({"generation":9,"base":3,"rows":[]})";
+    fleet.Publish("table", 9, first);
+    fleet.RunFor(milliseconds(6));
+    fleet.Publish("table", 9, second);
+    fleet.Stop(0);
+    fleet.Start(0);
+    fleet.RunFor(std::chrono::minutes(16));
+    const std::uint64_t expected = std::min(StableHash(first), StableHash(second));
+    for (const auto& node : fleet.nodes) {
+      CHECK(node.membership->store().Find(kTableKey)->digest.hash == expected);
+    }
+  }
+  SUBCASE("an invalid table is refused by all") {
+    fleet.Publish("table", 5, R"({"generation":5,"rows":[{"service":"a"}]})");
+    fleet.RunFor(seconds(10));
+    CHECK(fleet.CountHaving("table", 5) == 0);
+    CHECK(fleet.CountHaving("table", 1) == total);
+    fleet.ResetCounters();
+    fleet.RunFor(seconds(10));
+    CHECK(fleet.PeakCallsPerSecond() <= 2 * total);
+    fleet.Publish("table", 6, R"({"generation":6,"rows":[]})");
+    fleet.RunFor(seconds(6));
+    CHECK(fleet.AllHave("table", 6));
+  }
+}
+
+TEST_CASE("all of it at once, twice") {
+  // Guards against faults that each pass alone and together leave the fleet split.
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    FakeFleet fleet({.centres = {10, 10, 8}, .seed = seed, .datagram_loss = 0.1});
+    const std::size_t total = fleet.nodes.size();
+    fleet.StartAll();
+    fleet.RunFor(seconds(15));
+    for (int round = 0; round < 2; ++round) {
+      fleet.watches_silent = true;
+      fleet.nodes[1].cut_from_platform = true;
+      fleet.Freeze(2);
+      fleet.Stop(3);
+      for (std::size_t i = 20; i < total; ++i) {
+        fleet.nodes[i].side = 1;
+      }
+      fleet.Call(4, [&](Membership& member, MembershipActions&) { member.Leave(fleet.now); });
+      fleet.PublishTable("out");
+      fleet.RunFor(seconds(30));
+      fleet.platform_down = true;
+      fleet.RunFor(seconds(70));
+      CHECK(fleet.CountSeeing(3, VmState::kLost) > 0);
+      fleet.platform_down = false;
+      fleet.watches_silent = false;
+      fleet.Wake(2);
+      fleet.Stop(4);
+      fleet.Start(4);
+      fleet.Start(3);
+      for (auto& node : fleet.nodes) {
+        node.side = 0;
+        node.cut_from_platform = false;
+      }
+      const std::uint64_t generation = fleet.PublishTable("in");
+      CHECK(fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30)) <=
+            seconds(6));
+      fleet.RunFor(seconds(10));
+      CAPTURE(seed);
+      CAPTURE(round);
+      CHECK(fleet.CountHolding() == total);
+      for (const std::size_t index : {2, 3, 4}) {
+        CHECK(fleet.CountSeeing(index, VmState::kLive) == total - 1);
+      }
+    }
+  }
+}
+
+}  // namespace ibishold
