Hold slots by placement, takeover wait, releases and the right to hold

Without the takeover wait, the check of the right to hold, or the wait after a lapse the test sees the limit exceeded.

--- a/include/ibishold/ownership.h
+++ b/include/ibishold/ownership.h
@@ -8,9 +8,15 @@
 //   2. SlotOwner          one owner and its part of a leaf's slots
 //   3. PlaceLeaf          owners of one leaf over a list of VMs
 //   4. SlotPlan           owners of all leaves, for lookup by leaf and by VM
+//   5. SlotHolder         slots that this VM may use now
 
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "ibishold/config.h"
@@ -57,10 +63,104 @@
   // Slots that this VM owns of the leaf; 0 if none.
   std::uint32_t SlotsOf(const VmId& vm, const LeafId& leaf) const;
 
+  void ForEach(
+      const std::function<void(const LeafId&, const std::vector<SlotOwner>&)>& visit) const;
+
  private:
   std::unordered_map<std::string, std::vector<SlotOwner>> owners;
 };
 
+// ---- 5. SlotHolder ------------------------------------------------------------------------------
+
+struct SlotHolderOptions {
+  VmId vm;  // this VM
+  // Requests of the former holder have ended and it has learned the new list after this time; 8 s.
+  Duration takeover_wait = std::chrono::seconds(8);
+  // After a pause or a lapse of the right to hold, the newest list arrives before this time; 2 s.
+  Duration resume_wait = std::chrono::seconds(2);
+  // Checks are far more frequent, so a longer time between two means that the process was paused
+  // and may have missed a list; 1 s.
+  Duration pause_limit = std::chrono::seconds(1);
+  // After a longer lapse other VMs may have taken over without the platform; 30 s.
+  Duration long_lapse = std::chrono::seconds(30);
+};
+
+// Slots that this VM gives to another one.
+struct SlotHandOver {
+  LeafId leaf;
+  VmId to;
+  std::uint32_t slots = 0;
+
+  friend bool operator==(const SlotHandOver&, const SlotHandOver&) = default;
+};
+
+// Decides which slots this VM may use now. Two VMs use a slot at the same time only while one of
+// them has a stale list and its monitors acknowledge it all the same.
+class SlotHolder {
+ public:
+  explicit SlotHolder(SlotHolderOptions options) : options(std::move(options)) {}
+
+  // A new placement. Slots that were lost are not used from here on; slots that were gained are
+  // used after the takeover wait. Only in the first placement of a list that never changed
+  // (generation 1) there is no wait; a process that was restarted under such a list may overlap
+  // with what its predecessor left running.
+  void OnPlan(std::shared_ptr<const SlotPlan> new_plan,
+              std::uint64_t list_generation,
+              TimePoint now);
+
+  // The former holder gave these slots to this VM and has nothing in flight on them. It may arrive
+  // before the placement that it belongs to.
+  void OnRelease(const LeafId& leaf, std::uint32_t slots, TimePoint now);
+
+  // To be called before each Usable, at least every 100 ms: `hold_until` is the end of the right to hold as known now.
+  // After a lapse nothing may be used until the right was renewed and the wait is over.
+  void CheckHold(TimePoint hold_until, TimePoint now);
+
+  // Slots that may be used now; 0 while the right to hold has lapsed.
+  std::uint32_t Usable(const LeafId& leaf, TimePoint now) const;
+
+  // Slots to be given to other VMs, once, when no more calls than `in_flight` run at the leaf.
+  std::vector<SlotHandOver> TakeHandOvers(const LeafId& leaf, std::uint32_t in_flight);
+
+  // Planned stop: all slots are handed over as in a placement without this VM.
+  void Leave(std::shared_ptr<const SlotPlan> plan_without, std::uint64_t generation, TimePoint now);
+
+  const SlotPlan& plan() const { return *this->current; }
+  bool lapsed(TimePoint now) const { return this->suspended || now < this->resume_at; }
+
+ private:
+  struct Part {
+    std::uint32_t held = 0;     // usable now
+    std::uint32_t pending = 0;  // usable from pending_until on
+    TimePoint pending_until{};
+    std::map<VmId, std::uint32_t> owed;  // lost, not yet released
+
+    void Settle(TimePoint now);
+    void Grow(std::uint32_t gained, TimePoint until);
+    std::uint32_t Shrink(std::uint32_t lost);  // how many of them were held
+  };
+  struct EarlyRelease {
+    std::uint32_t slots = 0;
+    TimePoint at{};
+  };
+
+  void Owe(Part& part,
+           std::uint32_t lost,
+           const std::vector<SlotOwner>& before,
+           const std::vector<SlotOwner>& after) const;
+
+  SlotHolderOptions options;
+  std::shared_ptr<const SlotPlan> current = std::make_shared<const SlotPlan>();
+  bool has_plan = false;
+  bool leaving = false;
+  std::unordered_map<std::string, Part> parts;
+  std::unordered_map<std::string, EarlyRelease> early;
+  bool suspended = true;  // until the first right to hold
+  TimePoint known_until{};
+  TimePoint checked_at{};
+  TimePoint resume_at{};
+};
+
 }  // namespace ibishold
 
 #endif  // IBISHOLD_OWNERSHIP_H_
--- /dev/null
+++ b/src/ownership/slot_holder.cc
@@ -0,0 +1,194 @@
+#include <algorithm>
+#include <utility>
+
+#include "ibishold/ownership.h"
+
+namespace ibishold {
+
+namespace {
+
+std::uint32_t SlotsIn(const std::vector<SlotOwner>& owners, const VmId& vm) {
+  for (const SlotOwner& owner : owners) {
+    if (owner.vm == vm) {
+      return owner.slots;
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+void SlotHolder::OnPlan(std::shared_ptr<const SlotPlan> new_plan,
+                        std::uint64_t list_generation,
+                        TimePoint now) {
+  if (this->leaving) {
+    return;
+  }
+  const std::shared_ptr<const SlotPlan> before = std::exchange(this->current, std::move(new_plan));
+  const bool first = !std::exchange(this->has_plan, true);
+  const Duration wait = first && list_generation <= 1 ? Duration{} : this->options.takeover_wait;
+  std::erase_if(this->early, [&](const auto& entry) {
+    return now - entry.second.at > this->options.takeover_wait;
+  });
+  this->current->ForEach([&](const LeafId& leaf, const std::vector<SlotOwner>& after) {
+    const std::uint32_t target = SlotsIn(after, this->options.vm);
+    const auto found = this->parts.find(leaf.value);
+    if (found == this->parts.end() && target == 0) {
+      return;
+    }
+    Part& part = this->parts[leaf.value];
+    part.Settle(now);
+    const std::uint32_t owned = part.held + part.pending;
+    if (target < owned) {
+      const std::uint32_t lost = part.Shrink(owned - target);
+      this->Owe(part, lost, before->OwnersOf(leaf), after);
+    } else if (target > owned) {
+      part.Grow(target - owned, now + wait);
+      const auto released = this->early.extract(leaf.value);
+      if (!released.empty()) {
+        this->OnRelease(leaf, released.mapped().slots, now);
+      }
+    }
+  });
+  // Leaves that left the topology need no hand-over.
+  std::erase_if(this->parts, [this](const auto& entry) {
+    return this->current->OwnersOf(LeafId(entry.first)).empty();
+  });
+}
+
+void SlotHolder::OnRelease(const LeafId& leaf, std::uint32_t slots, TimePoint now) {
+  const auto found = this->parts.find(leaf.value);
+  if (found != this->parts.end()) {
+    found->second.Settle(now);
+  }
+  if (found == this->parts.end() || found->second.pending == 0) {
+    EarlyRelease& release = this->early[leaf.value];
+    const bool recent = now - release.at <= this->options.takeover_wait;
+    release.slots = recent ? release.slots + slots : slots;
+    release.at = now;
+    return;
+  }
+  Part& part = found->second;
+  const std::uint32_t gained = std::min(slots, part.pending);
+  part.held += gained;
+  part.pending -= gained;
+}
+
+void SlotHolder::CheckHold(TimePoint hold_until, TimePoint now) {
+  const bool valid = now < hold_until;
+  // The right known at the last check has run out: either it lapsed, or this process was suspended
+  // and the renewal belongs to the time after.
+  const bool lapsed_before = this->known_until != TimePoint{} && now >= this->known_until;
+  const bool paused =
+      this->checked_at != TimePoint{} && now - this->checked_at > this->options.pause_limit;
+  this->checked_at = now;
+  if (valid && lapsed_before && now - this->known_until > this->options.long_lapse) {
+    this->resume_at = now + this->options.takeover_wait;
+  } else if ((valid && lapsed_before) || paused) {
+    this->resume_at = std::max(this->resume_at, now + this->options.resume_wait);
+  }
+  this->suspended = !valid;
+  if (valid) {
+    this->known_until = hold_until;
+  }
+}
+
+std::uint32_t SlotHolder::Usable(const LeafId& leaf, TimePoint now) const {
+  if (this->leaving || this->lapsed(now)) {
+    return 0;
+  }
+  const auto found = this->parts.find(leaf.value);
+  if (found == this->parts.end()) {
+    return 0;
+  }
+  const Part& part = found->second;
+  return part.held + (now >= part.pending_until ? part.pending : 0);
+}
+
+std::vector<SlotHandOver> SlotHolder::TakeHandOvers(const LeafId& leaf, std::uint32_t in_flight) {
+  std::vector<SlotHandOver> ready;
+  const auto found = this->parts.find(leaf.value);
+  if (found == this->parts.end() || found->second.owed.empty() || in_flight > found->second.held) {
+    return ready;
+  }
+  for (const auto& [vm, slots] : found->second.owed) {
+    ready.push_back({.leaf = leaf, .to = vm, .slots = slots});
+  }
+  found->second.owed.clear();
+  return ready;
+}
+
+void SlotHolder::Leave(std::shared_ptr<const SlotPlan> plan_without,
+                       std::uint64_t generation,
+                       TimePoint now) {
+  this->OnPlan(std::move(plan_without), generation, now);
+  this->leaving = true;
+}
+
+// Slots lost by the owners of the former placement go, in their order, to those that gained some,
+// in theirs; every VM with the same two placements comes to the same result.
+void SlotHolder::Owe(Part& part,
+                     std::uint32_t lost,
+                     const std::vector<SlotOwner>& before,
+                     const std::vector<SlotOwner>& after) const {
+  std::vector<SlotOwner> gains;
+  for (const SlotOwner& owner : after) {
+    const std::uint32_t had = SlotsIn(before, owner.vm);
+    if (owner.slots > had) {
+      gains.push_back({.vm = owner.vm, .slots = owner.slots - had});
+    }
+  }
+  std::size_t next = 0;
+  for (const SlotOwner& owner : before) {
+    const std::uint32_t kept = SlotsIn(after, owner.vm);
+    std::uint32_t left = owner.slots > kept ? owner.slots - kept : 0;
+    while (left > 0 && next < gains.size()) {
+      const std::uint32_t moved = std::min(left, gains[next].slots);
+      left -= moved;
+      gains[next].slots -= moved;
+      if (owner.vm == this->options.vm) {
+        // Slots that were not held yet are not given: their former holder may still use them.
+        const std::uint32_t given = std::min(moved, lost);
+        lost -= given;
+        if (given > 0) {
+          part.owed[gains[next].vm] += given;
+        }
+      }
+      if (gains[next].slots == 0) {
+        ++next;
+      }
+    }
+  }
+}
+
+void SlotHolder::Part::Settle(TimePoint now) {
+  if (now >= this->pending_until) {
+    this->held += std::exchange(this->pending, 0);
+  }
+}
+
+void SlotHolder::Part::Grow(std::uint32_t gained, TimePoint until) {
+  // Slots that come back before they were released are owed to nobody any more. Their new owner may
+  // have taken them over meanwhile, so they are waited for like others.
+  std::uint32_t back = gained;
+  while (back > 0 && !this->owed.empty()) {
+    const auto entry = this->owed.begin();
+    const std::uint32_t kept = std::min(back, entry->second);
+    back -= kept;
+    entry->second -= kept;
+    if (entry->second == 0) {
+      this->owed.erase(entry);
+    }
+  }
+  this->pending += gained;
+  this->pending_until = std::max(this->pending_until, until);
+}
+
+std::uint32_t SlotHolder::Part::Shrink(std::uint32_t lost) {
+  const std::uint32_t from_pending = std::min(lost, this->pending);
+  this->pending -= from_pending;
+  this->held -= lost - from_pending;
+  return lost - from_pending;
+}
+
+}  // namespace ibishold
--- a/src/ownership/slot_plan.cc
+++ b/src/ownership/slot_plan.cc
@@ -27,4 +27,11 @@
   return 0;
 }
 
+void SlotPlan::ForEach(
+    const std::function<void(const LeafId&, const std::vector<SlotOwner>&)>& visit) const {
+  for (const auto& [leaf, leaf_owners] : this->owners) {
+    visit(LeafId(leaf), leaf_owners);
+  }
+}
+
 }  // namespace ibishold
--- a/tests/broker/sim.h
+++ b/tests/broker/sim.h
@@ -127,11 +127,26 @@
     }
   }
 
+  void Thaw() {
+    this->frozen = false;
+    for (const auto& event : std::exchange(this->stalled, {})) {
+      event();
+    }
+  }
+
+  // Events must own what they refer to, because they wait while the process is frozen.
   template <typename Event>
   void Do(const Event& event) {
-    if (!this->alive || this->frozen) {
+    if (!this->alive) {
+      return;
+    }
+    if (this->frozen) {  // what arrives meanwhile waits in the process's sockets
+      this->stalled.emplace_back([this, event] { this->Do(event); });
       return;
     }
+    if (this->usable) {
+      this->slots = this->usable(this->world.now);
+    }
     this->dispatcher.SetSlots(this->slots, this->world.now);
     event(this->dispatcher, this->world.now);
     for (LeafAction& action : this->dispatcher.TakeActions()) {
@@ -165,19 +180,23 @@
     work.received = this->world.now;
     work.deadline = this->world.now + left;
     work.fingerprint = work.attempt;
-    this->Do([&](LeafDispatcher& to, TimePoint now) { to.Submit(work, now); });
+    this->Do([work](LeafDispatcher& to, TimePoint now) { to.Submit(work, now); });
     return work.attempt;
   }
   void Cancel(std::uint64_t attempt) {
-    this->Do([&](LeafDispatcher& to, TimePoint now) { to.Cancel(this->link, 1, attempt, now); });
+    this->Do([this, attempt](LeafDispatcher& to, TimePoint now) {
+      to.Cancel(this->link, 1, attempt, now);
+    });
   }
 
   void Tick() {
     if (!this->alive) {
       return;
     }
-    this->Do([](LeafDispatcher& to, TimePoint now) { to.Tick(now); });
-    if (++this->ticks % 200 == 0) {
+    if (!this->frozen) {
+      this->Do([](LeafDispatcher& to, TimePoint now) { to.Tick(now); });
+    }
+    if (!this->frozen && ++this->ticks % 200 == 0) {
       this->Tell(this->dispatcher.Level());
     }
     this->world.At(10ms, [self = this->shared_from_this()] { self->Tick(); });
@@ -194,6 +213,8 @@
   std::uint32_t slots = 0;
   bool alive = true;
   bool frozen = false;
+  std::vector<std::function<void()>> stalled;
+  std::function<std::uint32_t(TimePoint)> usable;  // in place of `slots`
   std::weak_ptr<Broker> peer;
   TimePoint last_told{};
   std::uint64_t ticks = 0;
@@ -272,7 +293,9 @@
   this->world.At(wire->last_down - this->world.now, [wire, reply] {
     const std::shared_ptr<Broker> broker = wire->broker.lock();
     if (broker && wire->open) {
-      broker->Do([&](LeafDispatcher& to, TimePoint now) { to.Replied(wire->id, reply, now); });
+      broker->Do([id = wire->id, reply](LeafDispatcher& to, TimePoint now) {
+        to.Replied(id, reply, now);
+      });
     }
   });
 }
@@ -292,7 +315,7 @@
       if (broker && wire->open) {
         wire->open = false;
         broker->wires.erase(wire->id);
-        broker->Do([&](LeafDispatcher& to, TimePoint now) { to.Closed(wire->id, now); });
+        broker->Do([id = wire->id](LeafDispatcher& to, TimePoint now) { to.Closed(id, now); });
       }
     });
   }
@@ -324,8 +347,8 @@
         wire->open = false;
         this->wires.erase(wire->id);
       }
-      this->Do([&](LeafDispatcher& to, TimePoint now) {
-        accepted ? to.Opened(wire->id, now) : to.Closed(wire->id, now);
+      this->Do([accepted, id = wire->id](LeafDispatcher& to, TimePoint now) {
+        accepted ? to.Opened(id, now) : to.Closed(id, now);
       });
     });
   } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
--- /dev/null
+++ b/tests/ownership/slot_holder_test.cc
@@ -0,0 +1,142 @@
+#include <doctest/doctest.h>
+
+#include "ibishold/ownership.h"
+
+namespace ibishold {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr TimePoint kStart{1h};
+const LeafId kLeaf("leaf");
+
+std::shared_ptr<const SlotPlan> PlanOf(const std::vector<std::string>& vms) {
+  Topology topology;
+  Service service{.name = ServiceName("s"), .slots = 4};
+  service.shards.push_back({.id = ShardId("0"), .leaves = {{.id = kLeaf}}});
+  topology.services.push_back(service);
+  VmList list;
+  for (const std::string& vm : vms) {
+    list.vms.push_back({.id = VmId(vm)});
+  }
+  return std::make_shared<const SlotPlan>(topology, list);
+}
+
+SlotHolder HolderOf(const std::string& vm) {
+  SlotHolder holder({.vm = VmId(vm)});
+  holder.CheckHold(TimePoint::max(), kStart);
+  return holder;
+}
+
+}  // namespace
+
+TEST_CASE("slots are taken over") {
+  const auto both = PlanOf({"a", "b"});
+  const auto only_b = PlanOf({"b"});
+  SUBCASE("a fleet that starts for the first time waits for nobody") {
+    SlotHolder holder = HolderOf("a");
+    holder.OnPlan(both, 1, kStart);
+    CHECK(holder.Usable(kLeaf, kStart) == 2);
+  }
+  SUBCASE("a process that starts later waits, because a former holder may be at work") {
+    SlotHolder holder = HolderOf("a");
+    holder.OnPlan(both, 7, kStart);
+    CHECK(holder.Usable(kLeaf, kStart + 7999ms) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 8s) == 2);
+  }
+  SUBCASE("slots of a removed VM are used 8 s after the list was learned") {
+    SlotHolder holder = HolderOf("b");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    CHECK(holder.Usable(kLeaf, kStart + 17999ms) == 2);
+    CHECK(holder.Usable(kLeaf, kStart + 18s) == 4);
+  }
+  SUBCASE("a release by the former holder ends the wait") {
+    SlotHolder holder = HolderOf("b");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    holder.OnRelease(kLeaf, 2, kStart + 10s);
+    CHECK(holder.Usable(kLeaf, kStart + 10s) == 4);
+  }
+  SUBCASE("also when it arrives before the list") {
+    SlotHolder holder = HolderOf("b");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnRelease(kLeaf, 2, kStart + 9s);
+    CHECK(holder.Usable(kLeaf, kStart + 9s) == 2);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    CHECK(holder.Usable(kLeaf, kStart + 10s) == 4);
+  }
+  SUBCASE("the former holder stops at once and releases when nothing is in flight") {
+    SlotHolder holder = HolderOf("a");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    CHECK(holder.Usable(kLeaf, kStart + 10s) == 0);
+    CHECK(holder.TakeHandOvers(kLeaf, 1).empty());
+    CHECK(holder.TakeHandOvers(kLeaf, 0) ==
+          std::vector<SlotHandOver>{{.leaf = kLeaf, .to = VmId("b"), .slots = 2}});
+    CHECK(holder.TakeHandOvers(kLeaf, 0).empty());
+  }
+  SUBCASE("slots that were still waited for are not released to a third VM") {
+    SlotHolder holder = HolderOf("b");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    holder.OnPlan(both, 3, kStart + 11s);
+    CHECK(holder.Usable(kLeaf, kStart + 30s) == 2);
+    CHECK(holder.TakeHandOvers(kLeaf, 0).empty());
+  }
+  SUBCASE("slots that come back are waited for even if they were not released yet") {
+    SlotHolder holder = HolderOf("a");
+    holder.OnPlan(both, 1, kStart);
+    holder.OnPlan(only_b, 2, kStart + 10s);
+    holder.OnPlan(both, 3, kStart + 11s);
+    CHECK(holder.TakeHandOvers(kLeaf, 0).empty());
+    CHECK(holder.Usable(kLeaf, kStart + 18s) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 19s) == 2);
+  }
+  SUBCASE("a planned stop hands everything over") {
+    SlotHolder holder = HolderOf("a");
+    holder.OnPlan(both, 1, kStart);
+    holder.Leave(only_b, 1, kStart + 1s);
+    CHECK(holder.Usable(kLeaf, kStart + 1s) == 0);
+    CHECK(holder.TakeHandOvers(kLeaf, 0).size() == 1);
+    holder.OnPlan(both, 2, kStart + 2s);
+    CHECK(holder.Usable(kLeaf, kStart + 60s) == 0);
+  }
+}
+
+TEST_CASE("the right to hold lapses") {
+  SlotHolder holder({.vm = VmId("a")});
+  holder.OnPlan(PlanOf({"a", "b"}), 1, kStart);
+  CHECK(holder.Usable(kLeaf, kStart) == 0);
+  holder.CheckHold(kStart + 5s, kStart);
+  CHECK(holder.Usable(kLeaf, kStart) == 2);
+  SUBCASE("without a renewal") {
+    holder.CheckHold(kStart + 5s, kStart + 5s);
+    CHECK(holder.Usable(kLeaf, kStart + 5s) == 0);
+    holder.CheckHold(kStart + 11s, kStart + 6s);
+    CHECK(holder.Usable(kLeaf, kStart + 6s) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 7999ms) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 8s) == 2);
+  }
+  SUBCASE("during a pause, and the renewal comes before the next check") {
+    // Guards against a process that resumes late and acts on a list that was replaced meanwhile.
+    holder.CheckHold(kStart + 25s, kStart + 20s);
+    CHECK(holder.Usable(kLeaf, kStart + 20s) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 22s) == 2);
+  }
+  SUBCASE("a short pause within the right to hold is followed by a wait for the newest list") {
+    holder.CheckHold(kStart + 5s, kStart + 900ms);
+    CHECK(holder.Usable(kLeaf, kStart + 900ms) == 2);
+    holder.CheckHold(kStart + 5s, kStart + 4s);
+    CHECK(holder.Usable(kLeaf, kStart + 4s) == 0);
+    CHECK(holder.Usable(kLeaf, kStart + 6s) == 2);
+  }
+  SUBCASE("for so long that others may have taken over without the platform") {
+    holder.CheckHold(kStart + 105s, kStart + 100s);
+    CHECK(holder.Usable(kLeaf, kStart + 107s) == 0);
+    holder.CheckHold(kStart + 113s, kStart + 108s);
+    CHECK(holder.Usable(kLeaf, kStart + 108s) == 0);
+  }
+}
+
+}  // namespace ibishold
