--- a/standins/load_check.cc
+++ b/standins/load_check.cc
@@ -68,7 +68,12 @@
   std::size_t partial = 0;
   std::map<std::string, std::string> states;
   for (const json::value& entry : coverage.at("shards").as_array()) {
-    states[Text(entry.at("shard"))] = Text(entry.at("state"));
+    const std::string state = Text(entry.at("state"));
+    states[Text(entry.at("shard"))] = state;
+    const json::value* reason = entry.as_object().if_contains("reason");
+    if (state != "full" && reason != nullptr && reason->is_string()) {
+      result.reasons[Text(*reason)] += 1;
+    }
   }
   for (const auto& [shard, state] : states) {
     const bool found = counts.contains(shard);
--- a/standins/load_check.h
+++ b/standins/load_check.h
@@ -16,6 +16,7 @@
   std::string wrong;               // first mistake in records, snapshot or correlation; empty: none
   std::string coverage_misstated;  // first mistake in the stated coverage; empty: none
   double coverage = 0;             // as stated, 0..1
+  std::map<std::string, std::uint64_t> reasons;  // why shards are not full, as stated
   std::uint64_t index_version = 0;
   std::uint64_t map_version = 0;
   std::size_t records = 0;
--- a/standins/load_run.cc
+++ b/standins/load_run.cc
@@ -223,6 +223,9 @@
     second.queries += 1;
     second.coverage_sum += result.coverage;
     this->useful_shards += result.records;
+    for (const auto& [reason, count] : result.reasons) {
+      this->reasons[reason] += count;
+    }
   }
   if (this->options.show) {
     std::cout << id << " " << request.service << " " << group << ": " << result.records
@@ -327,6 +330,10 @@
   for (const auto& [error, count] : this->errors) {
     error_counts[error] = count;
   }
+  json::object reason_counts;
+  for (const auto& [reason, count] : this->reasons) {
+    reason_counts[reason] = count;
+  }
   json::object sent;
   for (const auto& [name, ids] : this->operations) {
     sent[name] = json::value_from(ids);
@@ -343,6 +350,7 @@
           {"latency", std::move(latency)},
           {"coverage_mean",
            this->queries == 0 ? 0 : this->coverage_sum / static_cast<double>(this->queries)},
+          {"not_full_reasons", std::move(reason_counts)},
           {"coverage_misstated", this->misstated},
           {"wrong_answers", this->wrong},
           {"mistakes", json::value_from(this->mistakes)},
--- a/standins/load_run.h
+++ b/standins/load_run.h
@@ -97,6 +97,7 @@
   std::vector<Second> timeline;
   std::map<std::string, std::vector<double>> latencies_ms;  // by class, and "execute"
   std::map<std::string, std::uint64_t> errors;              // by status or transport failure
+  std::map<std::string, std::uint64_t> reasons;             // of shards that were not full
   std::vector<std::string> not_run_terms;
   std::vector<std::string> not_run_operations;
   std::map<std::string, std::vector<std::string>> operations;  // by request: operation ids sent
