Send work for a leaf that warms up at its other owner there

A broker whose allowance for a cold leaf is 0 answered SHED, which the front counts against its retry budget, so that shards of cold leaves were stated as missing although their primary could serve them. NOT_OWNER makes the front ask the other owner.

--- a/src/broker/leaf_dispatcher.cc
+++ b/src/broker/leaf_dispatcher.cc
@@ -27,7 +27,7 @@
   }
   if (this->warm_up.Allowance() == 0) {
     ++this->counters.sheds;
-    this->Refuse(work, wire::Outcome::SHED, "leaf is warming up at its other owner", now);
+    this->Refuse(work, wire::Outcome::NOT_OWNER, "leaf is warming up at its other owner", now);
     return;
   }
   const std::uint64_t call = ++this->last_id;
