Wire non-repeatable requests: tokens, forwarding to the home, replay, hand-over

The front that takes a request in passes it to the home of its token; the home dispatches it at most once to one owner of one leaf and passes it to that leaf's other owner once if a broker says that it has not run. Links among fronts carry execute, executeResult and tokenHandOver. No test of these paths yet.

--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -20,6 +20,7 @@
 #include "ibishold/caller.h"
 #include "ibishold/config.h"
 #include "ibishold/core.h"
+#include "ibishold/idempotency.h"
 #include "ibishold/request_policy.h"
 #include "ibishold/snapshot.h"
 #include "schema/ibishold.capnp.h"
@@ -79,13 +80,33 @@
   Duration latency{};  // since the request was taken in
 };
 
-using FrontAction = std::variant<SendBatch, SendCancel, Reply>;
+// Passes a request with a token to the front that decides about it.
+struct ForwardExecute {
+  std::uint64_t forward = 0;  // correlation of the frame, unique per run of the front
+  VmId home;
+  CallerRequest request;
+  TimePoint deadline{};
+};
+
+// Answer to a ForwardExecute of another front.
+struct ForwardResult {
+  std::uint64_t waiter = 0;  // as returned by OnForwarded
+  TokenResult result;
+};
+
+struct SendHandOver {
+  TokenHandOver part;
+};
+
+using FrontAction =
+    std::variant<SendBatch, SendCancel, Reply, ForwardExecute, ForwardResult, SendHandOver>;
 
 // ---- 3. FrontOptions ----------------------------------------------------------------------------
 
 struct FrontOptions {
   VmId vm;
   DataCentre data_centre;
+  Incarnation incarnation = 1;  // of this process
   std::uint64_t seed = 1;
   Duration minimum_deadline = std::chrono::milliseconds(2);  // less time left: refused at once
   Duration answer_margin = std::chrono::milliseconds(10);    // kept for the way back to the caller
@@ -99,6 +120,10 @@
   Duration broker_backoff = std::chrono::milliseconds(100);  // not chosen after a failed send
   Duration attempt_memory = std::chrono::seconds(2);         // past the deadline
   std::size_t request_limit = 8192;                          // requests in progress; more: 503
+  Duration cancel_margin = std::chrono::milliseconds(20);    // for the broker to confirm a removal
+  Duration forward_wait = std::chrono::milliseconds(20);     // between tries to reach a home
+  Duration forward_limit = std::chrono::milliseconds(1000);  // 1 s; then the home is unreachable
+  TokenHomeOptions tokens;                                   // self is set from vm and incarnation
   SnapshotTrackerOptions snapshot;
   LatencyTrackerOptions latency;
   AdmissionOptions admission;
@@ -124,13 +149,19 @@
   std::uint64_t late_replies = 0;   // of unknown or given-up attempts
   std::uint64_t other_version = 0;  // answers that stated another snapshot
   std::uint64_t malformed = 0;
-  std::uint64_t abandoned = 0;  // callers that left
+  std::uint64_t abandoned = 0;     // callers that left
+  std::uint64_t executes = 0;      // non-repeatable requests sent to a leaf
+  std::uint64_t replays = 0;       // answered from the token table
+  std::uint64_t forwards = 0;      // passed to the home of their token
+  std::uint64_t may_have_run = 0;  // non-repeatable requests that ended without certainty
 };
 
 // ---- 5. FrontCore -------------------------------------------------------------------------------
 
+struct Attempt;
 class Dispatcher;
 class QueryEngine;
+class ExecuteEngine;
 
 // Every call takes the time and may leave actions, which the environment takes and carries out.
 class FrontCore {
@@ -149,6 +180,16 @@
   void OnLinkLost(const VmId& broker, TimePoint now);
   void OnTimer(TimePoint now);
 
+  // Fronts among themselves. OnForwarded returns the number that the ForwardResult will name.
+  std::uint64_t OnForwarded(CallerRequest request, TimePoint now);
+  void OnForwardedResult(std::uint64_t forward, const TokenResult& result, TimePoint now);
+  void OnForwardNotSent(std::uint64_t forward, TimePoint now);  // none of its bytes was sent
+  void OnForwardLost(std::uint64_t forward, TimePoint now);     // the link closed after sending
+  void HandOver(const FrontRun& successor, TimePoint now);      // planned stop
+  absl::Status OnHandOver(const TokenHandOver& part, TimePoint now);
+  void OnSenderStopped(const FrontRun& sender, TimePoint now);
+  std::vector<FrontRun> InheritedRuns() const;
+
   std::optional<TimePoint> NextTimer() const;
   std::vector<FrontAction> TakeActions();
 
@@ -159,9 +200,12 @@
   std::string DebugState(TimePoint now) const;
 
  private:
+  void Deliver(const Attempt& attempt, const LeafReply& reply, TimePoint now);
+
   FrontOptions options;
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<QueryEngine> queries;
+  std::unique_ptr<ExecuteEngine> executes;
 };
 
 }  // namespace ibishold
--- a/src/front/dispatcher.cc
+++ b/src/front/dispatcher.cc
@@ -8,6 +8,7 @@
     : tracker(options.snapshot),
       latency(options.latency),
       shares(options.shares),
+      admission(options.admission, options.seed),
       options(options),
       chooser(options.seed) {}
 
--- a/src/front/dispatcher.h
+++ b/src/front/dispatcher.h
@@ -96,6 +96,7 @@
   SnapshotTracker tracker;
   LatencyTracker latency;
   TrafficShares shares;
+  Admission admission;
   TimerQueue timers;
   FrontCounters counters;
 
--- /dev/null
+++ b/src/front/execute_engine.cc
@@ -0,0 +1,251 @@
+#include "front/execute_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace ibishold {
+
+namespace {
+
+TokenHomeOptions HomeOptions(const FrontOptions& options) {
+  TokenHomeOptions tokens = options.tokens;
+  tokens.self = {.vm = options.vm, .incarnation = options.incarnation};
+  return tokens;
+}
+
+// Names the operation of a token, so that a token is not used for two different ones.
+std::uint64_t FingerprintOf(const CallerRequest& request) {
+  return StableHash(request.body, StableHash(request.service.value, request.key));
+}
+
+}  // namespace
+
+ExecuteEngine::ExecuteEngine(const FrontOptions& options, Dispatcher& dispatcher)
+    : options(options),
+      dispatcher(dispatcher),
+      home(HomeOptions(options)),
+      planner(dispatcher.tracker) {}
+
+void ExecuteEngine::Start(CallerRequest request, TimePoint now) {
+  const ControlViewPtr& view = this->dispatcher.view();
+  if (!view || !view->topology) {
+    this->Refuse(request, 503, "not_ready", "no topology has been received yet",
+                 std::chrono::milliseconds(500));
+    return;
+  }
+  if (view->topology->Find(request.service) == nullptr) {
+    this->Refuse(request, 404, "unknown_service",
+                 absl::StrCat("service ", request.service.value, " is not published"), Duration{});
+    return;
+  }
+  if (request.token.empty()) {
+    const absl::StatusOr<Token> token = this->home.Issue(now);
+    if (!token.ok()) {
+      this->Refuse(request, 503, "no_token", token.status().ToString(), std::chrono::seconds(1));
+      return;
+    }
+    this->Refuse(request, 428, "token_required",
+                 "send the request again with the Idempotency-Key of this answer", Duration{},
+                 ToText(*token));
+    return;
+  }
+  const absl::StatusOr<Token> token = ParseToken(request.token);
+  if (!token.ok()) {
+    this->Refuse(request, 400, "bad_token", token.status().ToString(), Duration{});
+    return;
+  }
+  if (request.deadline - now < this->options.minimum_deadline) {
+    this->Refuse(request, 504, "deadline", "the deadline is too near to start", Duration{});
+    return;
+  }
+  if (!this->Admit(request, now)) {
+    return;
+  }
+  const std::uint64_t id = this->dispatcher.NextId();
+  Waiter& waiter = this->waiters[id];
+  this->by_ticket[request.ticket] = id;
+  waiter.token = *token;
+  waiter.started = now;
+  const Duration left = request.deadline - now;
+  const auto share = Duration(static_cast<Duration::rep>(static_cast<double>(left.count()) *
+                                                         this->options.answer_margin_share));
+  waiter.answer_at = request.deadline - std::min(this->options.answer_margin, share);
+  waiter.forward_until = std::min(waiter.answer_at, now + this->options.forward_limit);
+  waiter.request = std::move(request);
+  this->Begin(id, now);
+}
+
+std::uint64_t ExecuteEngine::StartForwarded(CallerRequest request, TimePoint now) {
+  const std::uint64_t id = this->dispatcher.NextId();
+  const absl::StatusOr<Token> token = ParseToken(request.token);
+  Waiter& waiter = this->waiters[id];
+  waiter.forwarded = true;
+  waiter.started = now;
+  waiter.answer_at = request.deadline;
+  waiter.forward_until = std::min(waiter.answer_at, now + this->options.forward_limit);
+  waiter.request = std::move(request);
+  if (!token.ok()) {
+    this->Answer(id, RefusedResult(400, "bad_token", token.status().ToString(), Verdict::kNotRun),
+                 now);
+    return id;
+  }
+  waiter.token = *token;
+  this->Begin(id, now);
+  return id;
+}
+
+void ExecuteEngine::Begin(std::uint64_t id, TimePoint now) {
+  Waiter& waiter = this->waiters.at(id);
+  const Token& token = waiter.token;
+  if (const ControlViewPtr& view = this->dispatcher.view()) {
+    const auto report = view->successors.find(token.home.incarnation);
+    if (report != view->successors.end()) {
+      this->home.LearnSuccessor(token.home, report->second, 1, now);
+    }
+  }
+  const TokenDecision decision = this->home.Begin(token, FingerprintOf(waiter.request), id, now);
+  switch (decision.action) {
+    case TokenAction::kDispatch:
+      this->Dispatch(id, decision.dispatch, now);
+      return;
+    case TokenAction::kJoin:
+      this->dispatcher.timers.Add({.at = waiter.answer_at, .kind = TimerKind::kAnswer, .id = id});
+      return;
+    case TokenAction::kReplay:
+      ++this->dispatcher.counters.replays;
+      this->Answer(id, decision.result, now);
+      return;
+    case TokenAction::kForward:
+      ++this->dispatcher.counters.forwards;
+      this->dispatcher.timers.Add({.at = waiter.answer_at, .kind = TimerKind::kAnswer, .id = id});
+      this->dispatcher.Act(ForwardExecute{.forward = id,
+                                          .home = decision.forward_to,
+                                          .request = waiter.request,
+                                          .deadline = waiter.answer_at});
+      return;
+    case TokenAction::kExpired:
+      this->Answer(id,
+                   RefusedResult(410, "token_expired", "the token is too old to be decided",
+                                 Verdict::kMayHaveRun),
+                   now);
+      return;
+    case TokenAction::kUnknownRun:
+      this->Answer(id,
+                   RefusedResult(504, "home_lost", "the front that decides about the token is gone",
+                                 Verdict::kMayHaveRun),
+                   now);
+      return;
+    case TokenAction::kFull:
+      this->Answer(id,
+                   RefusedResult(503, "token_table_full", "too many tokens are in use",
+                                 Verdict::kNotRun, std::chrono::seconds(1)),
+                   now);
+      return;
+    case TokenAction::kMismatch:
+      this->Answer(id,
+                   RefusedResult(422, "token_mismatch", "the token belongs to another operation",
+                                 Verdict::kNotRun),
+                   now);
+      return;
+  }
+}
+
+bool ExecuteEngine::Admit(const CallerRequest& request, TimePoint now) {
+  const AdmissionResult admitted =
+      this->dispatcher.admission.Admit(request.service, request.tenant, request.request_class,
+                                       this->dispatcher.LimitsOf(request.service), now);
+  if (!admitted.admitted) {
+    const bool rate = admitted.refusal == Refusal::kRate;
+    this->Refuse(request, rate ? 429 : 503, NameOf(kRefusalNames, admitted.refusal),
+                 "refused by admission; nothing was sent", admitted.retry_after);
+  }
+  return admitted.admitted;
+}
+
+void ExecuteEngine::OnForwardedResult(std::uint64_t forward,
+                                      const TokenResult& result,
+                                      TimePoint now) {
+  this->Answer(forward, result, now);
+}
+
+void ExecuteEngine::OnForwardNotSent(std::uint64_t forward, TimePoint now) {
+  const auto found = this->waiters.find(forward);
+  if (found == this->waiters.end()) {
+    return;
+  }
+  if (now + this->options.forward_wait < found->second.forward_until) {
+    this->dispatcher.timers.Add(
+        {.at = now + this->options.forward_wait, .kind = TimerKind::kForward, .id = forward});
+    return;
+  }
+  // An earlier request with the same token may have reached the home, so this is not "not run".
+  this->Answer(forward,
+               RefusedResult(503, "home_unreachable",
+                             "the front that decides about the token cannot be reached",
+                             Verdict::kMayHaveRun, std::chrono::seconds(1)),
+               now);
+}
+
+void ExecuteEngine::OnForwardLost(std::uint64_t forward, TimePoint now) {
+  this->Answer(forward,
+               RefusedResult(504, "home_lost", "the link to the home closed before its answer",
+                             Verdict::kMayHaveRun),
+               now);
+}
+
+void ExecuteEngine::Abandon(std::uint64_t ticket, TimePoint now) {
+  const auto found = this->by_ticket.find(ticket);
+  if (found == this->by_ticket.end()) {
+    return;
+  }
+  // The execution goes on: its result stays with the token.
+  ++this->dispatcher.counters.abandoned;
+  this->home.RemoveWaiter(this->waiters.at(found->second).token, found->second);
+  this->Release(found->second, now);
+}
+
+void ExecuteEngine::HandOver(const FrontRun& successor, TimePoint now) {
+  absl::StatusOr<std::vector<TokenHandOver>> parts = this->home.Export(successor, now);
+  if (!parts.ok()) {
+    return;
+  }
+  for (TokenHandOver& part : *parts) {
+    this->dispatcher.Act(SendHandOver{std::move(part)});
+  }
+}
+
+absl::Status ExecuteEngine::OnHandOver(const TokenHandOver& part, TimePoint now) {
+  const absl::StatusOr<std::vector<TokenReply>> replies = this->home.Import(part, now);
+  if (!replies.ok()) {
+    return replies.status();
+  }
+  for (const TokenReply& reply : *replies) {
+    this->Answer(reply.waiter, reply.result, now);
+  }
+  return absl::OkStatus();
+}
+
+void ExecuteEngine::OnSenderStopped(const FrontRun& sender, TimePoint now) {
+  for (const TokenReply& reply : this->home.SenderStopped(sender, now)) {
+    this->Answer(reply.waiter, reply.result, now);
+  }
+}
+
+void ExecuteEngine::SendLateResults(TimePoint now) {
+  if (!this->home.handed_over()) {
+    return;
+  }
+  for (TokenHandOver& part : this->home.ExportResults(now)) {
+    this->dispatcher.Act(SendHandOver{std::move(part)});
+  }
+}
+
+std::size_t ExecuteEngine::running() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->executions.begin(), this->executions.end(),
+                    [](const auto& item) { return !item.second.finished; }));
+}
+
+}  // namespace ibishold
--- a/src/front/frames.cc
+++ b/src/front/frames.cc
@@ -4,14 +4,22 @@
 
 namespace ibishold {
 
-namespace {
-
 std::uint64_t MicrosecondsLeft(TimePoint deadline, TimePoint now) {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - now).count();
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
 }
 
-}  // namespace
+// A verdict that this build does not know must not be taken for "not run".
+Verdict ReadVerdict(wire::Verdict verdict) {
+  switch (verdict) {
+    case wire::Verdict::NOT_RUN:
+      return Verdict::kNotRun;
+    case wire::Verdict::RAN:
+      return Verdict::kRan;
+    default:
+      return Verdict::kMayHaveRun;
+  }
+}
 
 capnp::Data::Reader ToData(std::string_view text) {
   return {reinterpret_cast<const capnp::byte*>(text.data()), text.size()};
@@ -58,10 +66,7 @@
   LeafReply reply;
   reply.attempt = answer.getAttempt();
   reply.outcome = answer.getOutcome();
-  // A verdict that this build does not know must not be taken for "not run".
-  reply.verdict = answer.getVerdict() == wire::Verdict::NOT_RUN ? Verdict::kNotRun
-                  : answer.getVerdict() == wire::Verdict::RAN   ? Verdict::kRan
-                                                                : Verdict::kMayHaveRun;
+  reply.verdict = ReadVerdict(answer.getVerdict());
   reply.complete = answer.getComplete();
   reply.records = FromData(answer.getRecords());
   reply.stated = {.index_version = answer.getIndexVersion(),
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -11,6 +11,20 @@
 void WriteCancel(const SendCancel& cancel, std::uint64_t correlation, wire::Frame::Builder out);
 LeafReply ReadLeafReply(wire::LeafAnswer::Reader answer);
 
+// Frames among fronts. The request that ReadExecute returns has no ticket.
+void WriteExecute(const ForwardExecute& forward, TimePoint now, wire::Frame::Builder out);
+CallerRequest ReadExecute(wire::Execute::Reader execute, TimePoint now);
+void WriteExecuteResult(const TokenResult& result, wire::ExecuteResult::Builder out);
+TokenResult ReadExecuteResult(wire::ExecuteResult::Reader result);
+void WriteHandOver(const TokenHandOver& part, wire::TokenHandOver::Builder out);
+// The frame names the successor's incarnation only; its VM is the receiver.
+TokenHandOver ReadHandOver(wire::TokenHandOver::Reader part,
+                           const FrontRun& sender,
+                           const FrontRun& receiver);
+
+Verdict ReadVerdict(wire::Verdict verdict);
+std::uint64_t MicrosecondsLeft(TimePoint deadline, TimePoint now);
+
 capnp::Data::Reader ToData(std::string_view text);
 std::string FromData(capnp::Data::Reader data);
 
--- a/src/front/front_core.cc
+++ b/src/front/front_core.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "front/dispatcher.h"
+#include "front/execute_engine.h"
 #include "front/query_engine.h"
 #include "ibishold/front.h"
 
@@ -12,7 +13,8 @@
 FrontCore::FrontCore(FrontOptions front_options)
     : options(std::move(front_options)),
       dispatcher(std::make_unique<Dispatcher>(this->options)),
-      queries(std::make_unique<QueryEngine>(this->options, *this->dispatcher)) {}
+      queries(std::make_unique<QueryEngine>(this->options, *this->dispatcher)),
+      executes(std::make_unique<ExecuteEngine>(this->options, *this->dispatcher)) {}
 
 FrontCore::~FrontCore() = default;
 
@@ -22,11 +24,16 @@
 
 void FrontCore::OnRequest(CallerRequest request, TimePoint now) {
   ++this->dispatcher->counters.requests;
+  if (request.kind == RequestKind::kExecute) {
+    this->executes->Start(std::move(request), now);
+    return;
+  }
   this->queries->Start(std::move(request), now);
 }
 
 void FrontCore::OnAbandoned(std::uint64_t ticket, TimePoint now) {
   this->queries->Abandon(ticket, now);
+  this->executes->Abandon(ticket, now);
 }
 
 void FrontCore::OnLeafReply(const VmId& broker, LeafReply reply, TimePoint now) {
@@ -45,11 +52,10 @@
   if (reply.outcome == wire::Outcome::UNREACHABLE || reply.outcome == wire::Outcome::LEAF_LOST) {
     this->dispatcher->tracker.Unreachable(attempt->leaf, now);
   }
-  this->queries->OnReply(*attempt, reply, now);
+  this->Deliver(*attempt, reply, now);
 }
 
 void FrontCore::OnCancelResult(std::uint64_t id, Verdict verdict, TimePoint now) {
-  (void)now;
   const Attempt* known = this->dispatcher->Find(id);
   if (known == nullptr) {
     return;
@@ -60,7 +66,21 @@
     return;
   }
   const std::optional<Attempt> attempt = this->dispatcher->Take(id);
-  this->queries->OnGivenUp(*attempt, verdict);
+  if (this->executes->Owns(attempt->request)) {
+    LeafReply reply;
+    reply.attempt = id;
+    reply.outcome = wire::Outcome::CANCELLED;
+    reply.verdict = Verdict::kNotRun;
+    this->executes->OnReply(*attempt, reply, now);
+  }
+}
+
+void FrontCore::Deliver(const Attempt& attempt, const LeafReply& reply, TimePoint now) {
+  if (this->executes->Owns(attempt.request)) {
+    this->executes->OnReply(attempt, reply, now);
+  } else {
+    this->queries->OnReply(attempt, reply, now);
+  }
 }
 
 void FrontCore::OnNotSent(const SendBatch& batch, TimePoint now) {
@@ -74,7 +94,7 @@
     reply.attempt = call.attempt;
     reply.outcome = wire::Outcome::UNREACHABLE;
     reply.verdict = Verdict::kNotRun;
-    this->queries->OnReply(*attempt, reply, now);
+    this->Deliver(*attempt, reply, now);
   }
 }
 
@@ -89,7 +109,7 @@
     reply.attempt = id;
     reply.outcome = wire::Outcome::LEAF_LOST;
     reply.verdict = Verdict::kMayHaveRun;
-    this->queries->OnReply(*attempt, reply, now);
+    this->Deliver(*attempt, reply, now);
   }
 }
 
@@ -102,9 +122,42 @@
       continue;
     }
     this->queries->OnTimer(*timer, now);
+    this->executes->OnTimer(*timer, now);
   }
 }
 
+std::uint64_t FrontCore::OnForwarded(CallerRequest request, TimePoint now) {
+  return this->executes->StartForwarded(std::move(request), now);
+}
+
+void FrontCore::OnForwardedResult(std::uint64_t forward, const TokenResult& result, TimePoint now) {
+  this->executes->OnForwardedResult(forward, result, now);
+}
+
+void FrontCore::OnForwardNotSent(std::uint64_t forward, TimePoint now) {
+  this->executes->OnForwardNotSent(forward, now);
+}
+
+void FrontCore::OnForwardLost(std::uint64_t forward, TimePoint now) {
+  this->executes->OnForwardLost(forward, now);
+}
+
+void FrontCore::HandOver(const FrontRun& successor, TimePoint now) {
+  this->executes->HandOver(successor, now);
+}
+
+absl::Status FrontCore::OnHandOver(const TokenHandOver& part, TimePoint now) {
+  return this->executes->OnHandOver(part, now);
+}
+
+void FrontCore::OnSenderStopped(const FrontRun& sender, TimePoint now) {
+  this->executes->OnSenderStopped(sender, now);
+}
+
+std::vector<FrontRun> FrontCore::InheritedRuns() const {
+  return this->executes->tokens().InheritedRuns();
+}
+
 std::optional<TimePoint> FrontCore::NextTimer() const {
   return this->dispatcher->timers.Next();
 }
@@ -118,7 +171,7 @@
 }
 
 std::size_t FrontCore::requests_in_progress() const {
-  return this->queries->size();
+  return this->queries->size() + this->executes->size() + this->executes->running();
 }
 
 std::size_t FrontCore::attempts_outstanding() const {
@@ -130,6 +183,9 @@
   const ControlViewPtr& view = this->dispatcher->view();
   json::object state{{"requests_in_progress", this->requests_in_progress()},
                      {"attempts_outstanding", this->attempts_outstanding()},
+                     {"tokens", this->executes->tokens().size()},
+                     {"tokens_handed_over", this->executes->tokens().handed_over()},
+                     {"executions_running", this->executes->running()},
                      {"hedge_budget", this->queries->hedge_budget().balance()},
                      {"retry_budget", this->queries->retry_budget().balance()}};
   if (view) {
--- /dev/null
+++ b/src/front/front_links.h
@@ -0,0 +1,73 @@
+#ifndef SRC_FRONT_FRONT_LINKS_H_
+#define SRC_FRONT_FRONT_LINKS_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "ibishold/front.h"
+#include "ibishold/front_process.h"
+#include "ibishold/net.h"
+
+namespace ibishold {
+
+// Links among fronts: requests with tokens to their homes, and the hand-over of a stopping front.
+class FrontLinks {
+ public:
+  // run_actions carries out what the core left to do.
+  FrontLinks(boost::asio::io_context& context,
+             const FrontProcessOptions& options,
+             FrontCore& core,
+             std::function<void()> run_actions);
+
+  absl::Status Listen();
+  void SetView(const ControlViewPtr& view);
+  void Carry(const ForwardExecute& forward);
+  void Carry(const ForwardResult& result);
+  void Carry(const SendHandOver& hand_over);
+
+  // Connects to a successor, then hands the tokens over; tries the next VM after hand_over_try.
+  void BeginHandOver();
+  bool hand_over_done() const { return this->done.load(); }  // any thread
+  void Close();
+
+ private:
+  // Where the result of a forwarded request goes.
+  struct Origin {
+    FrameLinkPtr link;
+    std::uint64_t correlation = 0;
+  };
+
+  void OnFrame(FrameLink& link, wire::Frame::Reader frame);
+  void OnExecute(FrameLink& link, std::uint64_t correlation, wire::Execute::Reader execute);
+  void OnHandOver(FrameLink& link, std::uint64_t correlation, wire::TokenHandOver::Reader part);
+  void OnClosed(FrameLink& link);
+  void PollHandOver();
+  FrameLinkPtr LinkTo(const VmId& vm);
+
+  const FrontProcessOptions& options;
+  FrontCore& core;
+  std::function<void()> run_actions;
+  LinkServer server;
+  LinkPool pool;
+  boost::asio::steady_timer timer;
+  std::unordered_map<std::string, std::string> addresses;        // by VM
+  std::unordered_map<std::uint64_t, Origin> origins;             // by waiter
+  std::unordered_map<std::uint64_t, const FrameLink*> forwards;  // sent, without a result
+  std::set<const FrameLink*> senders;                            // that handed over to us
+  std::vector<VmId> successors;                                  // still to be tried
+  FrameLinkPtr successor_link;
+  TimePoint try_until{};
+  std::size_t unacknowledged = 0;
+  std::atomic<bool> done{false};
+  ControlViewPtr view;
+};
+
+}  // namespace ibishold
+
+#endif  // SRC_FRONT_FRONT_LINKS_H_
--- a/src/front/front_process.cc
+++ b/src/front/front_process.cc
@@ -66,6 +66,10 @@
     if (!listening.ok()) {
       return listening;
     }
+    const absl::Status linked = this->duty.Listen();
+    if (!linked.ok()) {
+      return linked;
+    }
     asio::post(this->request_context, [this] { this->duty.Start(); });
     this->caller_thread = std::thread([this] { this->caller_context.run(); });
     this->request_thread = std::thread([this] { this->request_context.run(); });
@@ -125,9 +129,10 @@
       this->accepting = false;
       this->quiet_since = now;
       this->server.StopAccepting();
+      asio::post(this->request_context, [this] { this->duty.BeginHandOver(); });
     }
     const bool finished = !this->accepting && now - this->quiet_since >= kQuietBeforeClose &&
-                          this->duty.in_progress() == 0;
+                          this->duty.in_progress() == 0 && this->duty.hand_over_done();
     if (finished || now - this->stop_began >= this->options.stop_limit) {
       this->server.CloseConnections();
       asio::post(this->request_context, [this] {
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -45,6 +45,7 @@
   options.incarnation = NewIncarnation();
   options.core.vm = settings.vm;
   options.core.data_centre = settings.data_centre;
+  options.core.incarnation = options.incarnation;
   options.core.seed = StableHash(settings.vm.value, options.incarnation);
   options.caller.name = absl::StrCat(settings.vm.value, "-", options.incarnation);
   options.link.vm = settings.vm;
--- a/src/front/query_engine.cc
+++ b/src/front/query_engine.cc
@@ -50,7 +50,6 @@
     : options(options),
       dispatcher(dispatcher),
       planner(dispatcher.tracker),
-      admission(options.admission, options.seed),
       hedges(options.hedge_budget),
       retries(options.retry_budget) {}
 
@@ -76,8 +75,8 @@
     return;
   }
   const AdmissionResult admitted =
-      this->admission.Admit(request.service, request.tenant, request.request_class,
-                            this->dispatcher.LimitsOf(request.service), now);
+      this->dispatcher.admission.Admit(request.service, request.tenant, request.request_class,
+                                       this->dispatcher.LimitsOf(request.service), now);
   if (!admitted.admitted) {
     const bool rate = admitted.refusal == Refusal::kRate;
     this->Refuse(request, rate ? 429 : 503, NameOf(kRefusalNames, admitted.refusal),
@@ -161,7 +160,8 @@
                                  .kind = TimerKind::kHedge,
                                  .id = query.header.request,
                                  .epoch = query.header.epoch,
-                                 .shard = shard});
+                                 .shard = shard,
+                                 .attempt = attempt});
   }
   return true;
 }
@@ -203,6 +203,7 @@
   Query& query = found->second;
   ShardRun& run = query.shards[attempt.shard];
   std::erase(run.out, attempt.id);
+  query.may_have_run |= reply.verdict != Verdict::kNotRun;
   if (run.done) {
     ++this->dispatcher.counters.late_replies;
     return;
@@ -308,6 +309,9 @@
     return false;
   }
   query.replanned = true;
+  // Attempts of the first plan may have run although their answers no longer count.
+  query.may_have_run |= std::any_of(query.shards.begin(), query.shards.end(),
+                                    [](const ShardRun& run) { return !run.out.empty(); });
   ++this->dispatcher.counters.replans;
   this->CancelOut(query);
   this->Plan(query, *std::move(pinned), now);
@@ -343,7 +347,8 @@
       this->ShardDone(query, timer.shard);
     }
   } else if (timer.kind == TimerKind::kHedge && !run.hedged && run.out.size() == 1 &&
-             this->hedges.balance() >= 1 && this->Ask(query, timer.shard, Extra::kHedge, now)) {
+             run.out[0] == timer.attempt && this->hedges.balance() >= 1 &&
+             this->Ask(query, timer.shard, Extra::kHedge, now)) {
     run.hedged = true;
     this->hedges.TryTake();
     ++this->dispatcher.counters.hedges;
@@ -388,7 +393,7 @@
 }
 
 void QueryEngine::Release(Query& query, TimePoint now) {
-  this->admission.Done(query.request.service, query.request.tenant, now);
+  this->dispatcher.admission.Done(query.request.service, query.request.tenant, now);
   this->by_ticket.erase(query.request.ticket);
   this->queries.erase(query.header.request);
 }
--- a/src/front/query_engine.h
+++ b/src/front/query_engine.h
@@ -82,7 +82,6 @@
   FrontOptions options;
   Dispatcher& dispatcher;
   QueryPlanner planner;
-  Admission admission;
   HedgeBudget hedges;
   RetryBudget retries;
   std::unordered_map<std::uint64_t, Query> queries;
--- a/src/front/request_duty.cc
+++ b/src/front/request_duty.cc
@@ -28,6 +28,7 @@
       on_answer(std::move(on_answer)),
       core(options.core),
       brokers(context, options.link),
+      fronts(context, options, this->core, [this] { this->RunActions(); }),
       timer(context),
       tick(context) {}
 
@@ -51,6 +52,7 @@
 void RequestDuty::Close() {
   this->tick.cancel();
   this->timer.cancel();
+  this->fronts.Close();
   this->brokers.CloseAll(absl::UnavailableError("front stops"));
 }
 
@@ -71,11 +73,7 @@
       break;
     case wire::Frame::Body::CANCEL_RESULT: {
       const auto result = body.getCancelResult();
-      this->core.OnCancelResult(result.getAttempt(),
-                                result.getVerdict() == wire::Verdict::NOT_RUN ? Verdict::kNotRun
-                                : result.getVerdict() == wire::Verdict::RAN   ? Verdict::kRan
-                                                                            : Verdict::kMayHaveRun,
-                                now);
+      this->core.OnCancelResult(result.getAttempt(), ReadVerdict(result.getVerdict()), now);
       break;
     }
     default:
@@ -108,11 +106,16 @@
     }
   }
   this->core.SetView(this->view, BootClock::now());
+  this->fronts.SetView(this->view);
   this->view_ready = this->view->ready;
   this->WarmLinks();
 }
 
 void RequestDuty::RunActions() {
+  if (this->running_actions) {
+    return;  // called from within an action; the outer loop takes what was left
+  }
+  this->running_actions = true;
   // Carrying out an action may fail and leave new actions.
   for (std::vector<FrontAction> actions = this->core.TakeActions(); !actions.empty();
        actions = this->core.TakeActions()) {
@@ -120,6 +123,7 @@
       std::visit([this](const auto& each) { this->Carry(each); }, action);
     }
   }
+  this->running_actions = false;
   this->progress = this->core.requests_in_progress();
   this->ArmTimer();
 }
--- a/src/front/request_duty.h
+++ b/src/front/request_duty.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "front/front_links.h"
 #include "ibishold/config.h"
 #include "ibishold/front.h"
 #include "ibishold/front_process.h"
@@ -29,10 +30,13 @@
               Metrics& metrics,
               AnswerHandler on_answer);
 
+  absl::Status Listen() { return this->fronts.Listen(); }  // before the thread runs
   void Start();
   void Request(CallerRequest request);
   void Abandon(std::uint64_t ticket);
-  void Close();  // all links
+  void BeginHandOver() { this->fronts.BeginHandOver(); }
+  bool hand_over_done() const { return this->fronts.hand_over_done(); }  // any thread
+  void Close();                                                          // all links
 
   bool has_view() const { return this->view_ready.load(); }          // any thread
   std::size_t in_progress() const { return this->progress.load(); }  // any thread
@@ -46,6 +50,9 @@
   void Carry(const SendBatch& batch);
   void Carry(const SendCancel& cancel);
   void Carry(const Reply& reply);
+  void Carry(const ForwardExecute& forward) { this->fronts.Carry(forward); }
+  void Carry(const ForwardResult& result) { this->fronts.Carry(result); }
+  void Carry(const SendHandOver& hand_over) { this->fronts.Carry(hand_over); }
   void ArmTimer();
   void Tick();
   void AskForView();
@@ -59,6 +66,7 @@
   AnswerHandler on_answer;
   FrontCore core;
   LinkPool brokers;
+  FrontLinks fronts;
   boost::asio::steady_timer timer;  // of the core
   boost::asio::steady_timer tick;   // view and counters
   std::optional<TimePoint> armed_for;
@@ -67,6 +75,7 @@
   std::unordered_map<const FrameLink*, VmId> link_vms;     // open links to brokers
   std::unordered_map<std::string, Latency*> latencies;     // by tenant and class
   FrontCounters exported;
+  bool running_actions = false;
   std::atomic<bool> view_ready{false};
   std::atomic<std::size_t> progress{0};
   mutable std::mutex debug_mutex;
--- a/src/front/request_metrics.cc
+++ b/src/front/request_metrics.cc
@@ -35,6 +35,14 @@
       old.malformed);
   add("ibishold_front_abandoned_total", "Callers that left before their answer", now.abandoned,
       old.abandoned);
+  add("ibishold_front_executes_total", "Non-repeatable requests sent to a leaf", now.executes,
+      old.executes);
+  add("ibishold_front_replays_total", "Requests answered from the token table", now.replays,
+      old.replays);
+  add("ibishold_front_forwards_total", "Requests passed to the home of their token", now.forwards,
+      old.forwards);
+  add("ibishold_front_may_have_run_total", "Non-repeatable requests without a certain end",
+      now.may_have_run, old.may_have_run);
   this->exported = now;
   this->metrics.AddGauge("ibishold_front_requests_in_progress", "Requests without an answer")
       .Set(static_cast<double>(this->core.requests_in_progress()));
--- a/src/front/timer_queue.h
+++ b/src/front/timer_queue.h
@@ -15,6 +15,9 @@
   kHedge,    // a shard may be asked a second time
   kRoute,    // a shard without a reachable owner is tried again
   kAttempt,  // an attempt without any answer is forgotten
+  kCancel,   // a non-repeatable request that is still queued is withdrawn
+  kForward,  // a forward that could not be sent is tried again
+  kForget,   // a finished execution no longer waits for a late result
 };
 
 struct Timer {
@@ -23,6 +26,7 @@
   std::uint64_t id = 0;     // request or attempt
   std::uint32_t epoch = 0;  // plan of the request
   std::size_t shard = 0;
+  std::uint64_t attempt = 0;  // that a hedge would back up
 };
 
 // Timers are never removed; their owners ignore the ones that no longer apply.
