--- a/daemons/broker_main.cc
+++ b/daemons/broker_main.cc
@@ -11,7 +11,7 @@
 int Run(const ibishold::Settings& settings, const ibishold::BrokerLimits& limits) {
   using namespace ibishold;  // NOLINT(google-build-using-namespace): one function of a main file
   ConfigureLogging(settings.log_level, settings.vm, "broker");
-  const log4cxx::LoggerPtr logger = GetLogger("broker." + settings.vm.value + ".main");
+  const log4cxx::LoggerPtr logger = GetLogger("main");
   Metrics metrics;
   const Incarnation incarnation = NewIncarnation();
   std::unique_ptr<Broker> broker;
