Apply the quarantine to queries in the front

A query whose fan-out crashed its leaves was sent to the other replica of every shard by retries. Now a crash makes it a suspect: one shard at a time is sent again, and it is refused after two crashes alone. While crashes are seen, unknown queries run on one leaf first.

Seen failing first: without the check before a retry, and without the canary, the tests of the bound and of the innocent query fail.

--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -21,6 +21,7 @@
 #include "ibishold/config.h"
 #include "ibishold/core.h"
 #include "ibishold/idempotency.h"
+#include "ibishold/quarantine.h"
 #include "ibishold/request_policy.h"
 #include "ibishold/snapshot.h"
 #include "schema/ibishold.capnp.h"
@@ -40,6 +41,8 @@
   std::vector<std::uint64_t> index_versions;  // all that the leaf holds; empty if it said nothing
   Duration retry_after{};
   std::string message;
+  // Run of the leaf that died with the attempt in flight (LEAF_LOST only); 0: the leaf may live.
+  Incarnation dead_incarnation = 0;
 };
 
 // ---- 2. Actions ---------------------------------------------------------------------------------
@@ -49,6 +52,7 @@
   LeafId leaf;
   ShardId shard;
   bool hedge = false;
+  bool canary = false;  // runs alone, because the request may crash leaves
 };
 
 // One frame to one broker.
@@ -124,6 +128,7 @@
   Duration forward_wait = std::chrono::milliseconds(20);     // between tries to reach a home
   Duration forward_limit = std::chrono::milliseconds(1000);  // 1 s; then the home is unreachable
   TokenHomeOptions tokens;                                   // self is set from vm and incarnation
+  QuarantineOptions quarantine;
   SnapshotTrackerOptions snapshot;
   LatencyTrackerOptions latency;
   AdmissionOptions admission;
@@ -150,6 +155,8 @@
   std::uint64_t other_version = 0;  // answers that stated another snapshot
   std::uint64_t malformed = 0;
   std::uint64_t abandoned = 0;     // callers that left
+  std::uint64_t quarantined = 0;   // refused as suspected of crashing leaves
+  std::uint64_t canaries = 0;      // attempts that ran alone
   std::uint64_t executes = 0;      // non-repeatable requests sent to a leaf
   std::uint64_t replays = 0;       // answered from the token table
   std::uint64_t forwards = 0;      // passed to the home of their token
@@ -178,6 +185,7 @@
   void OnCancelResult(std::uint64_t attempt, Verdict verdict, TimePoint now);
   void OnNotSent(const SendBatch& batch, TimePoint now);  // none of its bytes was sent
   void OnLinkLost(const VmId& broker, TimePoint now);
+  void OnQuarantineReport(const QuarantineReport& report, TimePoint now);
   void OnTimer(TimePoint now);
 
   // Fronts among themselves. OnForwarded returns the number that the ForwardResult will name.
--- a/src/front/dispatcher.cc
+++ b/src/front/dispatcher.cc
@@ -56,9 +56,8 @@
 
 std::uint64_t Dispatcher::Start(const BatchHeader& header,
                                 std::size_t shard,
-                                const ShardId& shard_id,
+                                LeafCall call,
                                 const ReplicaRoute& route,
-                                bool hedge,
                                 TimePoint now) {
   SendBatch& batch = this->open_batches[route.owner];
   if (batch.batch == 0) {
@@ -66,7 +65,8 @@
     batch.batch = this->NextId();
   }
   const std::uint64_t id = this->NextId();
-  batch.calls.push_back({.attempt = id, .leaf = route.leaf->id, .shard = shard_id, .hedge = hedge});
+  call.attempt = id;
+  call.leaf = route.leaf->id;
   this->attempts[id] = {.id = id,
                         .batch = batch.batch,
                         .request = header.request,
@@ -75,7 +75,8 @@
                         .leaf = route.leaf->id,
                         .broker = route.owner,
                         .sent_at = now,
-                        .hedge = hedge};
+                        .hedge = call.hedge};
+  batch.calls.push_back(std::move(call));
   ++this->wanted_in_batch[batch.batch];
   this->chooser.Started(route.leaf->id, route.owner);
   this->timers.Add({.at = header.deadline + this->options.attempt_memory,
--- a/src/front/dispatcher.h
+++ b/src/front/dispatcher.h
@@ -66,12 +66,12 @@
                                      const std::vector<RouteKey>& avoid,
                                      TimePoint now);
 
-  // Adds an attempt to the open batch of the route's broker; Flush hands the batches over.
+  // Adds an attempt to the open batch of the route's broker; Flush hands the batches over. The call
+  // needs no attempt and leaf yet.
   std::uint64_t Start(const BatchHeader& header,
                       std::size_t shard,
-                      const ShardId& shard_id,
+                      LeafCall call,
                       const ReplicaRoute& route,
-                      bool hedge,
                       TimePoint now);
   void Flush(const BatchHeader& header);
 
--- a/src/front/execute_dispatch.cc
+++ b/src/front/execute_dispatch.cc
@@ -59,7 +59,7 @@
   }
   execution.leaf = route->leaf->id;
   execution.attempt =
-      this->dispatcher.Start(execution.header, shard_index, shard.id, *route, false, now);
+      this->dispatcher.Start(execution.header, shard_index, {.shard = shard.id}, *route, now);
   ++this->dispatcher.counters.executes;
   this->dispatcher.Flush(execution.header);
   return true;
--- a/src/front/frames.cc
+++ b/src/front/frames.cc
@@ -50,6 +50,7 @@
     requests[i].setLeaf(call.leaf.value);
     requests[i].setShard(call.shard.value);
     requests[i].setHedge(call.hedge);
+    requests[i].setCanary(call.canary);
   }
 }
 
@@ -76,7 +77,20 @@
   }
   reply.retry_after = std::chrono::milliseconds(answer.getRetryAfterMillis());
   reply.message = answer.getMessage().cStr();
+  if (reply.outcome == wire::Outcome::LEAF_LOST) {
+    reply.dead_incarnation = answer.getLeafIncarnation();
+  }
   return reply;
 }
 
+QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader report) {
+  QuarantineReport result;
+  result.fingerprint = report.getFingerprint();
+  result.crash_age = std::chrono::milliseconds(report.getCrashAgeMillis());
+  for (const std::uint64_t crash : report.getAloneCrashes()) {
+    result.alone_crashes.push_back(crash);
+  }
+  return result;
+}
+
 }  // namespace ibishold
--- a/src/front/front_core.cc
+++ b/src/front/front_core.cc
@@ -126,6 +126,10 @@
   }
 }
 
+void FrontCore::OnQuarantineReport(const QuarantineReport& report, TimePoint now) {
+  this->queries->OnQuarantineReport(report, now);
+}
+
 std::uint64_t FrontCore::OnForwarded(CallerRequest request, TimePoint now) {
   return this->executes->StartForwarded(std::move(request), now);
 }
--- a/src/front/query_engine.cc
+++ b/src/front/query_engine.cc
@@ -51,7 +51,8 @@
       dispatcher(dispatcher),
       planner(dispatcher.tracker),
       hedges(options.hedge_budget),
-      retries(options.retry_budget) {}
+      retries(options.retry_budget),
+      quarantine(options.quarantine) {}
 
 void QueryEngine::Start(CallerRequest request, TimePoint now) {
   const ControlViewPtr& view = this->dispatcher.view();
@@ -100,11 +101,14 @@
                   .tenant = request.tenant,
                   .request_class = request.request_class,
                   .deadline = query.answer_at,
-                  .fingerprint = StableHash(request.body, StableHash(request.service.value)),
+                  .fingerprint = Fingerprint(request.service, request.body),
                   .body = std::make_shared<const std::string>(std::move(request.body))};
   request.body.clear();
   query.request = std::move(request);
   this->dispatcher.timers.Add({.at = query.answer_at, .kind = TimerKind::kAnswer, .id = id});
+  if (!this->PassQuarantine(query, pinned->service->shards.size() > 1, now)) {
+    return;
+  }
   this->Plan(query, *std::move(pinned), now);
   this->FinishIfDone(query, now);
 }
@@ -116,7 +120,14 @@
   const std::size_t count = this->PinOf(query).service->shards.size();
   query.shards.assign(count, {});
   query.done_count = 0;
+  if (query.canary_shard) {
+    query.canary_shard = query.header.fingerprint % count;
+  }
   for (std::size_t shard = 0; shard < count; ++shard) {
+    if (query.canary_shard.value_or(shard) != shard) {
+      continue;
+    }
+    query.shards[shard].alone = query.canary_shard.has_value();
     if (!this->AskOrWait(query, shard, Extra::kFirst, now)) {
       query.merger->SetReason(shard, "no_replica");
       this->ShardDone(query, shard);
@@ -143,7 +154,10 @@
     return false;
   }
   const std::uint64_t attempt = this->dispatcher.Start(
-      query.header, shard, service.shards[shard].id, *route, extra == Extra::kHedge, now);
+      query.header, shard,
+      {.shard = service.shards[shard].id, .hedge = extra == Extra::kHedge, .canary = run.alone},
+      *route, now);
+  this->dispatcher.counters.canaries += run.alone ? 1 : 0;
   run.tried.push_back(route->leaf->id);
   run.out.push_back(attempt);
   ++run.attempts;
@@ -151,7 +165,7 @@
     this->hedges.Request();
     this->retries.Request();
   }
-  if (!run.hedged && service.shards[shard].leaves.size() > 1 &&
+  if (!run.hedged && !run.alone && service.shards[shard].leaves.size() > 1 &&
       this->dispatcher.shares.RowOf(service.name, route->leaf->data_centre).hedge) {
     const Duration delay =
         this->dispatcher.latency.Quantile(route->leaf->id, this->options.hedge_quantile)
@@ -212,6 +226,11 @@
     this->OnFailure(query, attempt, reply, now);
     return;
   }
+  if (run.alone) {
+    this->ReturnPermit(query, true, now);
+    run.alone = false;
+    query.canary_succeeded = true;
+  }
   const MergeResult result = query.merger->Add(
       attempt.shard,
       {.snapshot = reply.stated, .complete = reply.complete, .records = reply.records});
@@ -288,8 +307,8 @@
     }
     asked = asked || retry();
   } else if (reply.outcome != wire::Outcome::QUARANTINED) {
-    asked =
-        run.out.empty() && this->retries.TryTake() && this->Ask(query, shard, Extra::kRetry, now);
+    asked = run.out.empty() && this->MayRetryAfterCrash(query, attempt, reply, now) &&
+            this->retries.TryTake() && this->Ask(query, shard, Extra::kRetry, now);
     this->dispatcher.counters.retries += asked ? 1 : 0;
   }
   this->dispatcher.Flush(query.header);
@@ -387,12 +406,16 @@
 }
 
 void QueryEngine::FinishIfDone(Query& query, TimePoint now) {
+  if (query.canary_shard && query.shards[*query.canary_shard].done) {
+    this->CanaryDone(query, now);
+  }
   if (query.done_count == query.shards.size()) {
     this->Finish(query, now);
   }
 }
 
 void QueryEngine::Release(Query& query, TimePoint now) {
+  this->ReturnPermit(query, false, now);
   this->dispatcher.admission.Done(query.request.service, query.request.tenant, now);
   this->by_ticket.erase(query.request.ticket);
   this->queries.erase(query.header.request);
--- a/src/front/query_engine.h
+++ b/src/front/query_engine.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "front/dispatcher.h"
 #include "front/timer_queue.h"
 #include "ibishold/front.h"
+#include "ibishold/quarantine.h"
 #include "ibishold/request_policy.h"
 #include "ibishold/snapshot.h"
 
@@ -27,6 +29,7 @@
   // The attempt was given up; the verdict says whether it had run.
   void OnGivenUp(const Attempt& attempt, Verdict verdict);
   void OnTimer(const Timer& timer, TimePoint now);
+  void OnQuarantineReport(const QuarantineReport& report, TimePoint now);
 
   std::size_t size() const { return this->queries.size(); }
   const RatioBudget& hedge_budget() const { return this->hedges; }
@@ -40,6 +43,7 @@
     std::uint32_t attempts = 0;
     std::uint32_t waits = 0;
     bool hedged = false;
+    bool alone = false;  // its attempt runs alone, because the request is a suspect
     bool done = false;
   };
 
@@ -55,6 +59,10 @@
     bool may_have_run = false;  // an attempt was handed over and not confirmed as not run
     Duration retry_after{};     // longest that a broker or a leaf asked for
     wire::Outcome last_outcome = wire::Outcome::OK;
+    // Only the canary shard is asked until it has succeeded.
+    std::optional<std::size_t> canary_shard;
+    bool canary_succeeded = false;
+    bool holds_permit = false;  // the one permit of its fingerprint to run alone
   };
 
   enum class Extra : std::uint8_t { kFirst, kHedge, kRetry, kReroute };
@@ -66,6 +74,14 @@
   bool AskOrWait(Query& query, std::size_t shard, Extra extra, TimePoint now);
   void OnFailure(Query& query, const Attempt& attempt, const LeafReply& reply, TimePoint now);
   bool TryReplan(Query& query, TimePoint now);
+  // False if the request is refused; a suspect gets a canary shard.
+  bool PassQuarantine(Query& query, bool fan_out, TimePoint now);
+  bool MayRetryAfterCrash(Query& query,
+                          const Attempt& attempt,
+                          const LeafReply& reply,
+                          TimePoint now);
+  void ReturnPermit(Query& query, bool success, TimePoint now);
+  void CanaryDone(Query& query, TimePoint now);
   void ShardDone(Query& query, std::size_t shard);
   void CancelOut(Query& query);
   void FinishIfDone(Query& query, TimePoint now);
@@ -84,6 +100,7 @@
   QueryPlanner planner;
   HedgeBudget hedges;
   RetryBudget retries;
+  Quarantine quarantine;
   std::unordered_map<std::uint64_t, Query> queries;
   std::unordered_map<std::uint64_t, std::uint64_t> by_ticket;
 };
--- a/src/front/request_duty.cc
+++ b/src/front/request_duty.cc
@@ -71,6 +71,9 @@
     case wire::Frame::Body::LEAF_ANSWER:
       this->core.OnLeafReply(link.peer_vm(), ReadLeafReply(body.getLeafAnswer()), now);
       break;
+    case wire::Frame::Body::QUARANTINE:
+      this->core.OnQuarantineReport(ReadQuarantineReport(body.getQuarantine()), now);
+      break;
     case wire::Frame::Body::CANCEL_RESULT: {
       const auto result = body.getCancelResult();
       this->core.OnCancelResult(result.getAttempt(), ReadVerdict(result.getVerdict()), now);
