--- /dev/null
+++ b/tests/front/request_policy_test.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include "ibishold/request_policy.h"
+#include "tests/front/front_documents.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const ServiceName kStock("stock");
+const TimePoint kStart{seconds(100)};
+
+std::shared_ptr<const Table> MakeTable(RowState state, std::uint32_t weight) {
+  auto table = std::make_shared<Table>();
+  TableRow row = testing::MakeRow("dc-0", state);
+  row.weight = weight;
+  table->rows.push_back(row);
+  return table;
+}
+
+}  // namespace
+
+TEST_CASE("admission") {
+  Admission admission;
+  TableRow limits;
+  limits.max_in_flight = 10;
+  limits.rate_limit = 1000;
+  const auto admit = [&](const char* tenant, RequestClass request_class, TimePoint now) {
+    return admission.Admit(kStock, TenantName(tenant), request_class, limits, now);
+  };
+  SUBCASE("sheds the lowest class first while the service fills up") {
+    for (int i = 0; i < 6; ++i) {
+      CHECK(admit("a", RequestClass::kBulk, kStart).admitted);
+    }
+    CHECK_FALSE(admit("a", RequestClass::kBulk, kStart).admitted);
+    CHECK(admit("a", RequestClass::kStandard, kStart).admitted);
+    CHECK(admit("a", RequestClass::kStandard, kStart).admitted);
+    CHECK_FALSE(admit("a", RequestClass::kStandard, kStart).admitted);
+    CHECK(admit("a", RequestClass::kInteractive, kStart).admitted);
+    CHECK(admit("a", RequestClass::kInteractive, kStart).admitted);
+    const AdmissionResult refused = admit("a", RequestClass::kInteractive, kStart);
+    CHECK_FALSE(refused.admitted);
+    CHECK(refused.refusal == Refusal::kInFlight);
+    CHECK(refused.retry_after > Duration{});
+    admission.Done(kStock, TenantName("a"), kStart);
+    CHECK(admit("a", RequestClass::kInteractive, kStart).admitted);
+  }
+  SUBCASE("one tenant cannot take everything while another one asks") {
+    CHECK(admit("b", RequestClass::kInteractive, kStart).admitted);
+    int admitted = 0;
+    for (int i = 0; i < 10; ++i) {
+      admitted += admit("a", RequestClass::kInteractive, kStart).admitted ? 1 : 0;
+    }
+    CHECK(admitted == 5);
+    CHECK(admit("a", RequestClass::kInteractive, kStart).refusal == Refusal::kTenantInFlight);
+    CHECK(admit("b", RequestClass::kInteractive, kStart).admitted);
+  }
+  SUBCASE("limits the rate of a tenant and says when to come back") {
+    limits.max_in_flight = 100000;
+    int admitted = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const TimePoint now = kStart + milliseconds(i);  // 4 requests/ms against 1/ms
+      for (int k = 0; k < 4; ++k) {
+        admitted += admit("a", RequestClass::kInteractive, now).admitted ? 1 : 0;
+      }
+    }
+    CHECK(admitted <= 2000 + 250);  // rate and burst
+    CHECK(admitted >= 1990);
+    const AdmissionResult refused =
+        admit("a", RequestClass::kInteractive, kStart + milliseconds(1999));
+    CHECK(refused.refusal == Refusal::kRate);
+    CHECK(refused.retry_after > Duration{});
+  }
+  SUBCASE("remembers a bounded number of tenants and never loses a count") {
+    AdmissionOptions options;
+    options.tenant_limit = 4;
+    Admission small(options);
+    CHECK(small.Admit(kStock, TenantName("kept"), RequestClass::kInteractive, limits, kStart)
+              .admitted);
+    for (int i = 0; i < 100; ++i) {
+      const TenantName tenant(absl::StrCat("t", i));
+      if (small.Admit(kStock, tenant, RequestClass::kInteractive, limits, kStart).admitted) {
+        small.Done(kStock, tenant, kStart);
+      }
+    }
+    CHECK(small.InFlight(kStock) == 1);
+    small.Done(kStock, TenantName("kept"), kStart);
+    CHECK(small.InFlight(kStock) == 0);
+  }
+}
+
+TEST_CASE("weights of data centres") {
+  TrafficShares shares;
+  const DataCentre dc("dc-0");
+  shares.SetTable(MakeTable(RowState::kIn, 80), kStart);
+  SUBCASE("the first table has no ramp") {
+    CHECK(shares.WeightOf(kStock, dc, kStart) == 80);
+  }
+  SUBCASE("out and weight 0 act with the next call") {
+    shares.SetTable(MakeTable(RowState::kOut, 80), kStart);
+    CHECK(shares.WeightOf(kStock, dc, kStart) == 0);
+    shares.SetTable(MakeTable(RowState::kIn, 0), kStart);
+    CHECK(shares.WeightOf(kStock, dc, kStart) == 0);
+  }
+  SUBCASE("a return ramps up over 30 s") {
+    // Guards against full load on a data centre that has just come back.
+    shares.SetTable(MakeTable(RowState::kOut, 80), kStart);
+    shares.SetTable(MakeTable(RowState::kIn, 80), kStart);
+    CHECK(shares.WeightOf(kStock, dc, kStart) <= 2);
+    CHECK(shares.WeightOf(kStock, dc, kStart + seconds(15)) == doctest::Approx(40));
+    CHECK(shares.WeightOf(kStock, dc, kStart + seconds(30)) == doctest::Approx(80));
+    CHECK(shares.WeightOf(kStock, dc, kStart + seconds(300)) == doctest::Approx(80));
+    SUBCASE("also if a later table leaves the row as it is") {
+      shares.SetTable(MakeTable(RowState::kIn, 80), kStart + seconds(15));
+      CHECK(shares.WeightOf(kStock, dc, kStart + seconds(15)) == doctest::Approx(40));
+    }
+    SUBCASE("and starts again after the next return") {
+      shares.SetTable(MakeTable(RowState::kOut, 80), kStart + seconds(40));
+      shares.SetTable(MakeTable(RowState::kIn, 80), kStart + seconds(41));
+      CHECK(shares.WeightOf(kStock, dc, kStart + seconds(41)) <= 2);
+    }
+  }
+  SUBCASE("removing an out row is a return") {
+    shares.SetTable(MakeTable(RowState::kOut, 80), kStart);
+    shares.SetTable(std::make_shared<Table>(), kStart);
+    CHECK(shares.WeightOf(kStock, dc, kStart) <= 2);
+  }
+}
+
+TEST_CASE("choice of a replica") {
+  const auto topology = testing::MakeTopology({.shards = 1, .replicas = 2});
+  const std::vector<Leaf>& leaves = topology->services[0].shards[0].leaves;
+  std::vector<ReplicaRoute> routes = {{.leaf = &leaves[0], .owner = VmId("vm-0")},
+                                      {.leaf = &leaves[1], .owner = VmId("vm-1")}};
+  ReplicaChooser chooser(3);
+  LatencyTracker latency;
+  const auto share_of_first = [&] {
+    int first = 0;
+    for (int i = 0; i < 10000; ++i) {
+      first += *chooser.Choose(routes, latency) == 0 ? 1 : 0;
+    }
+    return first / 10000.0;
+  };
+  SUBCASE("prefers the less loaded one") {
+    for (int i = 0; i < 8; ++i) {
+      chooser.Started(leaves[0].id, VmId("vm-0"));
+    }
+    CHECK(share_of_first() < 0.3);
+    for (int i = 0; i < 8; ++i) {
+      chooser.Finished(leaves[0].id, VmId("vm-0"));
+    }
+    CHECK(chooser.InFlight(leaves[0].id, VmId("vm-0")) == 0);
+  }
+  SUBCASE("prefers the faster one but still learns about the slower one") {
+    for (int i = 0; i < 50; ++i) {
+      latency.Record(leaves[0].id, milliseconds(50));
+      latency.Record(leaves[1].id, milliseconds(5));
+    }
+    CHECK(share_of_first() < 0.3);
+    CHECK(share_of_first() > 0.1);
+  }
+  SUBCASE("keeps to the weights") {
+    routes[0].weight = 2;
+    CHECK(share_of_first() < 0.06);
+    routes[0].weight = 0;
+    CHECK(share_of_first() == 0);
+    routes[1].weight = 0;
+    CHECK_FALSE(chooser.Choose(routes, latency).has_value());
+  }
+}
+
+TEST_CASE("latency of a leaf") {
+  LatencyTracker latency;
+  const LeafId leaf("l");
+  for (int i = 1; i <= 19; ++i) {
+    latency.Record(leaf, milliseconds(i));
+  }
+  CHECK_FALSE(latency.Quantile(leaf, 0.95).has_value());
+  for (int i = 20; i <= 100; ++i) {
+    latency.Record(leaf, milliseconds(i));
+  }
+  CHECK(*latency.Quantile(leaf, 0.95) >= milliseconds(90));
+  CHECK(*latency.Quantile(leaf, 0.95) <= milliseconds(97));
+  // Guards against a quantile that never forgets a bad hour.
+  for (int i = 0; i < 128; ++i) {
+    latency.Record(leaf, milliseconds(2));
+  }
+  CHECK(*latency.Quantile(leaf, 0.95) == milliseconds(2));
+}
+
+}  // namespace ibishold
--- a/tests/front/sim_front.h
+++ b/tests/front/sim_front.h
@@ -31,7 +31,7 @@
   }
 
   static FrontOptions Prepare(FrontOptions options) {
-    options.vm = VmId("vm-0");
+    options.vm = options.vm.value.empty() ? VmId("vm-0") : options.vm;
     options.data_centre = DataCentre("dc-0");
     return options;
   }
@@ -90,6 +90,27 @@
     return ticket;
   }
 
+  std::uint64_t Execute(const std::string& token,
+                        const std::string& operation,
+                        Duration time_left = milliseconds(500)) {
+    return this->Ask(operation, time_left, [&](CallerRequest& request) {
+      request.kind = RequestKind::kExecute;
+      request.token = token;
+      request.key = 5;
+    });
+  }
+
+  // A token as a caller gets it: by sending the request without one.
+  std::string NewToken() { return this->AnswerOf(this->Execute("", "x")).new_token; }
+
+  std::size_t CallCount() const {
+    std::size_t count = 0;
+    for (const SendBatch& batch : this->batches) {
+      count += batch.calls.size();
+    }
+    return count;
+  }
+
   // Advances the virtual clock, running events and timers in order.
   void Run(Duration duration) {
     const TimePoint end = this->now + duration;
@@ -136,6 +157,11 @@
   std::shared_ptr<const ControlView> view;
   CallHandler on_call;
   std::function<void(const SendCancel&)> on_cancel;
+  std::function<void(const ForwardExecute&)> on_forward = [this](const ForwardExecute& forward) {
+    this->core.OnForwardNotSent(forward.forward, this->now);
+  };
+  std::function<void(const ForwardResult&)> on_forward_result = [](const ForwardResult&) {};
+  std::vector<TokenHandOver> hand_over;
   std::map<std::uint64_t, Reply> replies;  // by ticket
   std::map<std::uint64_t, int> reply_counts;
   std::vector<SendBatch> batches;
@@ -159,6 +185,12 @@
         } else if (const auto* reply = std::get_if<Reply>(&action)) {
           this->replies[reply->answer.ticket] = *reply;
           ++this->reply_counts[reply->answer.ticket];
+        } else if (const auto* forward = std::get_if<ForwardExecute>(&action)) {
+          this->on_forward(*forward);
+        } else if (const auto* result = std::get_if<ForwardResult>(&action)) {
+          this->on_forward_result(*result);
+        } else if (const auto* part = std::get_if<SendHandOver>(&action)) {
+          this->hand_over.push_back(part->part);
         }
       }
     }
--- /dev/null
+++ b/tests/front/verdict_test.cc
@@ -0,0 +1,384 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "tests/front/sim_front.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using testing::SimFront;
+
+namespace {
+
+// Answers every cancel after 1 ms.
+void ConfirmCancels(SimFront& front, Verdict verdict) {
+  front.on_cancel = [&front, verdict](const SendCancel& cancel) {
+    for (const std::uint64_t attempt : cancel.attempts) {
+      front.At(milliseconds(1), [&front, attempt, verdict] {
+        front.core.OnCancelResult(attempt, verdict, front.now);
+      });
+    }
+  };
+}
+
+void Silent(const SendBatch&, const LeafCall&) {}
+
+}  // namespace
+
+TEST_CASE("verdicts of queries") {
+  SimFront front;
+  SUBCASE("a timeout may have run") {
+    front.on_call = Silent;
+    const std::uint64_t ticket = front.Ask("a", milliseconds(100));
+    front.Run(milliseconds(100));
+    CHECK(front.AnswerOf(ticket).status == 504);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+  }
+  SUBCASE("nothing sent has not run, and the answer comes at once") {
+    // Guards against holding a request that was given up until its deadline.
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      if (call.attempt == batch.calls.back().attempt) {
+        front.core.OnNotSent(batch, front.now);
+      }
+    };
+    const std::uint64_t ticket = front.Ask("a", milliseconds(5000));
+    front.Run(milliseconds(200));
+    REQUIRE(front.Answered(ticket));
+    CHECK(front.AnswerOf(ticket).status == 503);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kNotRun);
+    CHECK(front.AnswerOf(ticket).retry_after > Duration{});
+  }
+  SUBCASE("a shed query says so with a time after which to retry") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      LeafReply reply = SimFront::Failed(call, wire::Outcome::SHED, Verdict::kNotRun);
+      reply.retry_after = milliseconds(700);
+      front.ReplyIn(milliseconds(1), batch, reply);
+    };
+    const std::uint64_t ticket = front.Ask("a", milliseconds(5000));
+    front.Run(milliseconds(50));
+    CHECK(front.AnswerOf(ticket).status == 503);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kNotRun);
+    CHECK(front.AnswerOf(ticket).retry_after == milliseconds(700));
+  }
+  SUBCASE("a lost broker may have run; its shards are asked again through others") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      if (batch.broker != VmId("vm-0")) {
+        front.ReplyIn(milliseconds(5), batch, front.Good(batch, call));
+      }
+    };
+    const std::uint64_t ticket = front.Ask("a", milliseconds(500));
+    front.Run(milliseconds(1));
+    front.core.OnLinkLost(VmId("vm-0"), front.now);
+    front.Run(milliseconds(100));
+    CHECK(front.FractionOf(ticket) == 1.0);
+  }
+}
+
+TEST_CASE("a non-repeatable request runs at most once") {
+  SimFront front;
+  SUBCASE("without a token it does not run and gets one") {
+    const std::uint64_t ticket = front.Execute("", "x");
+    CHECK(front.AnswerOf(ticket).status == 428);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kNotRun);
+    CHECK_FALSE(front.AnswerOf(ticket).new_token.empty());
+    CHECK(front.CallCount() == 0);
+  }
+  const std::string token = front.NewToken();
+  SUBCASE("a repetition is answered from the table, with its own request id") {
+    const std::uint64_t first = front.Execute(token, "x");
+    front.Run(milliseconds(50));
+    const std::uint64_t second = front.Execute(token, "x");
+    CHECK(front.AnswerOf(first).status == 200);
+    CHECK(front.AnswerOf(second).status == 200);
+    CHECK(front.BodyOf(second).at("records") == front.BodyOf(first).at("records"));
+    CHECK(front.BodyOf(second).at("request_id").as_string() == absl::StrCat("r-", second));
+    CHECK(front.CallCount() == 1);
+    CHECK(front.core.counters().replays == 1);
+  }
+  SUBCASE("a repetition while it runs joins it") {
+    const std::uint64_t first = front.Execute(token, "x");
+    const std::uint64_t second = front.Execute(token, "x");
+    front.Run(milliseconds(50));
+    CHECK(front.AnswerOf(first).status == 200);
+    CHECK(front.AnswerOf(second).status == 200);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("the token of one operation is not taken for another one") {
+    front.Execute(token, "x");
+    front.Run(milliseconds(50));
+    const std::uint64_t other = front.Execute(token, "y");
+    CHECK(front.AnswerOf(other).status == 422);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("it is never hedged or retried") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      front.ReplyIn(milliseconds(400), batch, front.Good(batch, call));
+    };
+    const std::uint64_t ticket = front.Execute(token, "x");
+    front.Run(milliseconds(600));
+    CHECK(front.AnswerOf(ticket).status == 200);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("a timeout may have run unless the broker confirms the removal") {
+    front.on_call = Silent;
+    ConfirmCancels(front, Verdict::kMayHaveRun);
+    const std::uint64_t ticket = front.Execute(token, "x", milliseconds(200));
+    front.Run(milliseconds(200));
+    CHECK(front.AnswerOf(ticket).status == 504);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+    // Guards against a second run by a caller that repeats an uncertain request.
+    const std::uint64_t again = front.Execute(token, "x", milliseconds(200));
+    front.Run(milliseconds(300));
+    CHECK(front.AnswerOf(again).verdict == Verdict::kMayHaveRun);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("a confirmed removal has not run, and the same token may run then") {
+    front.on_call = Silent;
+    ConfirmCancels(front, Verdict::kNotRun);
+    const std::uint64_t ticket = front.Execute(token, "x", milliseconds(200));
+    front.Run(milliseconds(200));
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kNotRun);
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      front.ReplyIn(milliseconds(5), batch, front.Good(batch, call));
+    };
+    const std::uint64_t again = front.Execute(token, "x", milliseconds(200));
+    front.Run(milliseconds(100));
+    CHECK(front.AnswerOf(again).status == 200);
+    CHECK(front.CallCount() == 2);
+  }
+  SUBCASE("a late result replaces the uncertain one in the table") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      front.ReplyIn(milliseconds(300), batch, front.Good(batch, call));
+    };
+    const std::uint64_t ticket = front.Execute(token, "x", milliseconds(200));
+    front.Run(milliseconds(400));
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+    const std::uint64_t again = front.Execute(token, "x", milliseconds(200));
+    CHECK(front.AnswerOf(again).status == 200);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("a refusal before it ran is passed to the other owner of the same leaf once") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(seed);
+      SimFront refused({.seed = seed});
+      refused.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+        refused.ReplyIn(milliseconds(1), batch,
+                        SimFront::Failed(call, wire::Outcome::SHED, Verdict::kNotRun));
+      };
+      const std::uint64_t ticket = refused.Execute(refused.NewToken(), "x");
+      refused.Run(milliseconds(100));
+      CHECK(refused.AnswerOf(ticket).status == 503);
+      CHECK(refused.AnswerOf(ticket).verdict == Verdict::kNotRun);
+      REQUIRE(refused.batches.size() == 2);
+      CHECK(refused.batches[0].calls[0].leaf == refused.batches[1].calls[0].leaf);
+      CHECK(refused.batches[0].broker != refused.batches[1].broker);
+    }
+  }
+  SUBCASE("a lost link may have run and is not tried elsewhere") {
+    front.on_call = Silent;
+    const std::uint64_t ticket = front.Execute(token, "x");
+    front.Run(milliseconds(1));
+    front.core.OnLinkLost(front.batches[0].broker, front.now);
+    front.Run(milliseconds(100));
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("an error of the leaf has run") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      front.ReplyIn(milliseconds(1), batch,
+                    SimFront::Failed(call, wire::Outcome::FAILED, Verdict::kRan));
+    };
+    const std::uint64_t ticket = front.Execute(token, "x");
+    front.Run(milliseconds(100));
+    CHECK(front.AnswerOf(ticket).status == 502);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kRan);
+    CHECK(front.CallCount() == 1);
+  }
+  SUBCASE("a caller that leaves does not stop it") {
+    const std::uint64_t ticket = front.Execute(token, "x");
+    front.core.OnAbandoned(ticket, front.now);
+    front.Run(milliseconds(50));
+    CHECK_FALSE(front.Answered(ticket));
+    const std::uint64_t again = front.Execute(token, "x");
+    CHECK(front.AnswerOf(again).status == 200);
+    CHECK(front.CallCount() == 1);
+  }
+}
+
+TEST_CASE("tokens between fronts") {
+  FrontOptions home_options;
+  home_options.vm = VmId("vm-0");
+  FrontOptions entry_options;
+  entry_options.vm = VmId("vm-1");
+  entry_options.incarnation = 2;
+  SimFront home(home_options);
+  SimFront entry(entry_options);
+  std::map<std::uint64_t, std::uint64_t> forward_of_waiter;
+  entry.on_forward = [&](const ForwardExecute& forward) {
+    CHECK(forward.home == VmId("vm-0"));
+    CallerRequest request = forward.request;
+    request.deadline = forward.deadline;
+    forward_of_waiter[home.core.OnForwarded(request, home.now)] = forward.forward;
+  };
+  home.on_forward_result = [&](const ForwardResult& result) {
+    entry.core.OnForwardedResult(forward_of_waiter.at(result.waiter), result.result, entry.now);
+  };
+  const auto run = [&](Duration duration) {
+    home.Run(duration);
+    entry.Run(duration);
+  };
+  const std::string token = home.NewToken();
+
+  SUBCASE("the home decides for every front") {
+    const std::uint64_t elsewhere = entry.Execute(token, "x");
+    const std::uint64_t here = home.Execute(token, "x");
+    run(milliseconds(50));
+    CHECK(entry.AnswerOf(elsewhere).status == 200);
+    CHECK(home.AnswerOf(here).status == 200);
+    CHECK(entry.BodyOf(elsewhere).at("request_id").as_string() == absl::StrCat("r-", elsewhere));
+    CHECK(home.CallCount() == 1);
+    CHECK(entry.CallCount() == 0);
+  }
+  SUBCASE("an unreachable home may have run, soon and never elsewhere") {
+    entry.on_forward = [&](const ForwardExecute& forward) {
+      entry.core.OnForwardNotSent(forward.forward, entry.now);
+    };
+    const std::uint64_t ticket = entry.Execute(token, "x", std::chrono::seconds(10));
+    entry.Run(milliseconds(1100));
+    REQUIRE(entry.Answered(ticket));
+    CHECK(entry.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+    CHECK(entry.CallCount() == 0);
+  }
+  SUBCASE("a closed link to the home may have run") {
+    std::uint64_t sent = 0;
+    entry.on_forward = [&](const ForwardExecute& forward) { sent = forward.forward; };
+    const std::uint64_t ticket = entry.Execute(token, "x");
+    entry.core.OnForwardLost(sent, entry.now);
+    entry.Run(milliseconds(1));
+    CHECK(entry.AnswerOf(ticket).verdict == Verdict::kMayHaveRun);
+  }
+  SUBCASE("a planned stop hands tokens to one successor") {
+    const std::string used = home.NewToken();
+    const std::string running = home.NewToken();
+    home.Execute(used, "x");
+    run(milliseconds(50));
+    home.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      home.ReplyIn(milliseconds(100), batch, home.Good(batch, call));
+    };
+    home.Execute(running, "z");
+    home.core.HandOver({VmId("vm-1"), 2}, home.now);
+    home.Run(Duration{});
+    for (const TokenHandOver& part : std::exchange(home.hand_over, {})) {
+      CHECK(entry.core.OnHandOver(part, entry.now).ok());
+    }
+    // An unused token runs at the successor, a used one is replayed.
+    const std::uint64_t fresh = entry.Execute(token, "y");
+    const std::uint64_t replayed = entry.Execute(used, "x");
+    const std::uint64_t joined = entry.Execute(running, "z");
+    run(milliseconds(50));
+    CHECK(entry.AnswerOf(fresh).status == 200);
+    CHECK(entry.AnswerOf(replayed).status == 200);
+    CHECK(entry.CallCount() == 1);
+    CHECK_FALSE(entry.Answered(joined));
+    // The result of the one that was running follows.
+    run(milliseconds(100));
+    for (const TokenHandOver& part : std::exchange(home.hand_over, {})) {
+      CHECK(entry.core.OnHandOver(part, entry.now).ok());
+    }
+    entry.Run(milliseconds(1));
+    CHECK(entry.AnswerOf(joined).status == 200);
+    CHECK(entry.CallCount() == 1);
+    // Guards against a second dispatch by the front that handed over.
+    std::string forwarded_to;
+    home.on_forward = [&](const ForwardExecute& forward) { forwarded_to = forward.home.value; };
+    const std::size_t calls = home.CallCount();
+    home.Execute(token, "y");
+    CHECK(forwarded_to == "vm-1");
+    CHECK(home.CallCount() == calls);
+  }
+  SUBCASE("what the home left running may have run after it stopped") {
+    home.on_call = Silent;
+    home.Execute(token, "x");
+    home.core.HandOver({VmId("vm-1"), 2}, home.now);
+    home.Run(Duration{});
+    for (const TokenHandOver& part : home.hand_over) {
+      CHECK(entry.core.OnHandOver(part, entry.now).ok());
+    }
+    const std::uint64_t joined = entry.Execute(token, "x");
+    entry.core.OnSenderStopped({VmId("vm-0"), 1}, entry.now);
+    entry.Run(milliseconds(1));
+    CHECK(entry.AnswerOf(joined).verdict == Verdict::kMayHaveRun);
+    CHECK(entry.CallCount() == 0);
+  }
+}
+
+TEST_CASE("hedges and retries stay within their budgets") {
+  FrontOptions options;
+  options.hedge_quantile = 0.8;  // below the share of fast answers, so that 10 % ask for a hedge
+  SimFront front(options);
+  Random random(5);
+  SUBCASE("hedges: at most 4 % of leaf requests, losers are cancelled") {
+    // Guards against hedging that doubles the load of a slow service.
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      const bool slow = random.Below(10) == 0;
+      front.ReplyIn(milliseconds(slow ? 120 : 4), batch, front.Good(batch, call));
+    };
+    constexpr int kQueries = 2000;
+    std::vector<std::uint64_t> tickets;
+    for (int i = 0; i < kQueries; ++i) {
+      tickets.push_back(front.Ask("a"));
+      front.Run(milliseconds(10));
+    }
+    front.Run(milliseconds(1000));
+    const FrontCounters& counters = front.core.counters();
+    CHECK(counters.hedges <= kQueries * 4 * 0.04);
+    CHECK(counters.hedges > kQueries * 4 * 0.03);
+    CHECK(counters.hedge_wins > counters.hedges / 2);
+    CHECK(counters.cancels >= counters.hedge_wins);
+    CHECK(counters.answers_full == kQueries);
+    for (const SendBatch& batch : front.batches) {
+      for (const LeafCall& call : batch.calls) {
+        if (call.hedge) {
+          CHECK(batch.calls.size() == 1);
+        }
+      }
+    }
+  }
+  SUBCASE("retries: at most 5 % of leaf requests, and the ten in advance") {
+    front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+      front.ReplyIn(milliseconds(1), batch,
+                    SimFront::Failed(call, wire::Outcome::FAILED, Verdict::kRan));
+    };
+    constexpr int kQueries = 1000;
+    for (int i = 0; i < kQueries; ++i) {
+      front.Ask("a");
+      front.Run(milliseconds(10));
+    }
+    CHECK(front.core.counters().retries <= kQueries * 4 * 0.05 + 10);
+    CHECK(front.core.counters().retries > kQueries * 4 * 0.04);
+  }
+  SUBCASE("neither goes to a data centre that has just been taken out") {
+    front.on_call = Silent;
+    FrontOptions generous;
+    generous.hedge_budget.initial = 50;
+    SimFront hedging(generous);
+    hedging.on_call = Silent;
+    hedging.Ask("a");
+    hedging.Run(milliseconds(10));
+    ControlView out = testing::MakeView({});
+    auto table = std::make_shared<Table>(Table{.generation = 2});
+    table->rows.push_back(testing::MakeRow("dc-0", RowState::kOut));
+    TableRow weightless = testing::MakeRow("dc-1");
+    weightless.weight = 0;
+    table->rows.push_back(weightless);
+    out.table = table;
+    const std::size_t sent = hedging.CallCount();
+    hedging.SetView(out);
+    hedging.Run(milliseconds(1000));
+    CHECK(hedging.CallCount() == sent);
+  }
+}
+
+}  // namespace ibishold
