--- a/include/ibishold/idempotency.h
+++ b/include/ibishold/idempotency.h
@@ -235,6 +235,7 @@
   void ImportRecord(Run& run,
                     const TokenHandOver& part,
                     const TokenRecord& record,
+                    TimePoint now,
                     std::vector<TokenReply>& replies);
   void DropExpired(TimePoint now);
 
--- a/src/idempotency/hand_over.cc
+++ b/src/idempotency/hand_over.cc
@@ -109,9 +109,16 @@
   if (this->entry_count + part.records.size() > this->options.table_limit) {
     return absl::ResourceExhaustedError("the token table is full");
   }
+  // The home's clock is at least what the part says. Keeping the estimate of a first part that came
+  // late would take a token for valid whose record the home dropped before a later export.
+  const std::uint64_t estimate_ms = run.clock_ms + Milliseconds(now - run.clock_at);
+  if (part.home_clock_ms > estimate_ms) {
+    run.clock_ms = part.home_clock_ms;
+    run.clock_at = now;
+  }
   std::vector<TokenReply> replies;
   for (const TokenRecord& record : part.records) {
-    this->ImportRecord(run, part, record, replies);
+    this->ImportRecord(run, part, record, now, replies);
   }
   if (part.parts == 0 || part.attempt < run.attempt) {
     return replies;
@@ -129,12 +136,16 @@
 void TokenHome::ImportRecord(Run& run,
                              const TokenHandOver& part,
                              const TokenRecord& record,
+                             TimePoint now,
                              std::vector<TokenReply>& replies) {
   const bool finished = record.state == TokenState::kFinished;
   const bool not_run = finished && record.result.verdict == Verdict::kNotRun;
   const auto found = run.entries.find(record.sequence);
   if (found == run.entries.end()) {
-    if (!not_run) {
+    // An expired record was dropped here; after the own hand-over the successor has the record. A
+    // repeated part that brought it back could turn around what the successor knows.
+    const bool valid = now < LocalExpiry(run, record.expiry_ms);
+    if (!not_run && valid && !this->handed_over()) {
       const Token token{
           .home = part.home, .sequence = record.sequence, .expiry_ms = record.expiry_ms};
       Entry& entry = this->Insert(run, token, record.fingerprint);
--- a/tests/idempotency/hand_over_test.cc
+++ b/tests/idempotency/hand_over_test.cc
@@ -192,6 +192,16 @@
     Pass(a.Export(kB, now).value(), b, now);
     CHECK(b.Begin(unused, kOrder, 1, now).action == TokenAction::kDispatch);
   }
+  SUBCASE("a late first part does not make tokens valid whose records were dropped") {
+    // Guards against the clock of a part that was delayed past the expiry.
+    const TimePoint late = now + minutes(10);
+    CHECK(b.Import(parts.back(), late).ok());
+    Pass(a.Export(kB, late).value(), b, late);
+    CHECK(b.InheritedRuns().size() == 1);
+    CHECK(b.Begin(tokens[0], kOrder, 1, late).action != TokenAction::kDispatch);
+    CHECK(b.Begin(tokens[19], kOrder, 1, late).action != TokenAction::kDispatch);
+    CHECK(b.Begin(unused, kOrder, 1, late).action == TokenAction::kExpired);
+  }
   SUBCASE("a front that has handed over itself accepts no tokens") {
     // Guards against a home that believes its tokens are served while the successor stops.
     CHECK(b.Export(kC, now).ok());
