--- /dev/null
+++ b/src/adapters/caller/session.cc
@@ -0,0 +1,289 @@
+#include "adapters/caller/session.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "adapters/caller/parse_request.h"
+
+namespace ibishold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::chrono::seconds kDrainLimit{1};      // input read after a refusal
+constexpr std::size_t kDrainBytes = 1024UL * 1024;  // of that input
+
+}  // namespace
+
+CallerServer::Session::Session(asio::ip::tcp::socket peer, CallerServer& server)
+    : socket(std::move(peer)), timer(this->socket.get_executor()), server(server) {
+  boost::system::error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void CallerServer::Session::Start() {
+  this->ReadNext();
+}
+
+void CallerServer::Session::RefuseConnection() {
+  this->Refuse(503, "overload", "too many connections", std::chrono::seconds(1), true);
+}
+
+void CallerServer::Session::ReadNext() {
+  this->phase = Phase::kIdle;
+  this->timed_out = false;
+  this->request_id.clear();
+  this->parser.emplace();
+  this->parser->header_limit(static_cast<std::uint32_t>(this->server.options.header_limit));
+  this->parser->body_limit(this->server.options.body_limit);
+  this->SetTimer(this->server.options.idle_limit);
+  this->ReadSome();
+}
+
+void CallerServer::Session::ReadSome() {
+  http::async_read_some(this->socket, this->buffer, *this->parser,
+                        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                          self->OnRead(error);
+                        });
+}
+
+void CallerServer::Session::OnRead(boost::system::error_code error) {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    this->OnReadError(error);
+    return;
+  }
+  if (this->phase == Phase::kIdle) {
+    // The limit runs from the first byte to the last one, so that sending slowly does not extend
+    // it.
+    this->phase = Phase::kReceiving;
+    this->SetTimer(this->server.options.receive_limit);
+  }
+  if (!this->parser->is_done()) {
+    this->ReadSome();
+    return;
+  }
+  this->OnMessage();
+}
+
+void CallerServer::Session::OnReadError(boost::system::error_code error) {
+  if (this->timed_out) {
+    ++this->server.counts.timeouts;
+    this->Refuse(408, "slow_sender", "the request did not arrive in time", Duration{}, true);
+    return;
+  }
+  if (error == http::error::body_limit) {
+    this->Refuse(
+        413, "too_large",
+        absl::StrCat("the body is larger than ", this->server.options.body_limit, " bytes"),
+        Duration{}, true);
+    return;
+  }
+  if (error == http::error::header_limit) {
+    this->Refuse(
+        431, "header_too_large",
+        absl::StrCat("the header is larger than ", this->server.options.header_limit, " bytes"),
+        Duration{}, true);
+    return;
+  }
+  const bool from_parser = error.category() == make_error_code(http::error::bad_method).category();
+  if (from_parser && error != http::error::end_of_stream && error != http::error::partial_message) {
+    this->Refuse(400, "bad_http", "not an HTTP/1.1 request: " + error.message(), Duration{}, true);
+    return;
+  }
+  this->Leave();
+}
+
+void CallerServer::Session::OnMessage() {
+  const auto& message = this->parser->get();
+  this->keep_alive = message.keep_alive();
+  auto parsed = ParseCallerRequest(message, this->server.options, BootClock::now());
+  if (auto* bad = std::get_if<BadRequest>(&parsed)) {
+    this->Refuse(bad->status, bad->error, bad->message, Duration{}, false);
+    return;
+  }
+  auto request = std::make_shared<CallerRequest>(std::move(std::get<CallerRequest>(parsed)));
+  ++this->server.counts.requests;
+  request->ticket = ++this->server.last_ticket;
+  if (request->request_id.empty()) {
+    request->request_id = absl::StrCat(this->server.options.name, "-", request->ticket);
+  }
+  this->request_id = request->request_id;
+  const TimePoint deadline = request->deadline;
+  this->ticket = request->ticket;
+  this->parser.reset();  // frees the body while the caller waits
+  this->phase = Phase::kWaiting;
+  this->server.waiting[this->ticket] = this;
+  if (!this->server.on_request(std::move(request))) {
+    this->server.waiting.erase(this->ticket);
+    this->Refuse(503, "overload", "too many requests are waiting", std::chrono::milliseconds(200),
+                 false);
+    return;
+  }
+  // Guards against an answer that is lost between the threads: the caller never waits for ever.
+  this->SetTimer(deadline - BootClock::now() + this->server.options.answer_grace);
+  this->WatchForClose();
+}
+
+void CallerServer::Session::WatchForClose() {
+  this->socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = this->shared_from_this(), waiting_for = this->ticket](beast::error_code error) {
+        if (error || self->phase != Phase::kWaiting || self->ticket != waiting_for) {
+          return;
+        }
+        char byte = 0;
+        boost::system::error_code peek;
+        self->socket.non_blocking(true, peek);
+        const std::size_t size =
+            self->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
+        if (size > 0 || peek == asio::error::would_block) {
+          return;  // the next request of the same caller
+        }
+        ++self->server.counts.abandoned;
+        self->server.waiting.erase(self->ticket);
+        self->server.on_abandon(self->ticket);
+        self->Leave();
+      });
+}
+
+void CallerServer::Session::Answer(const CallerAnswer& answer) {
+  this->server.waiting.erase(this->ticket);
+  this->Write(answer.status, answer.body, answer.retry_after, answer.new_token, false);
+}
+
+void CallerServer::Session::Refuse(int status,
+                                   std::string_view error,
+                                   std::string_view message,
+                                   Duration retry_after,
+                                   bool close) {
+  this->server.counts.bad_input += status < 500 ? 1 : 0;
+  this->input_unread = close;
+  this->Write(status, RefusalBody(error, message, Verdict::kNotRun, retry_after), retry_after, "",
+              close);
+}
+
+void CallerServer::Session::Write(int status,
+                                  std::string body,
+                                  Duration retry_after,
+                                  const std::string& new_token,
+                                  bool close) {
+  this->phase = Phase::kWriting;
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);  // ends WatchForClose
+  this->response = {};
+  this->response.version(11);
+  this->response.result(static_cast<unsigned>(status));
+  this->response.set(http::field::content_type, "application/json");
+  if (!this->request_id.empty()) {
+    this->response.set("X-Request-Id", this->request_id);
+  }
+  if (retry_after > Duration{}) {
+    // The header has whole seconds; the body has milliseconds.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after).count();
+    this->response.set(http::field::retry_after, std::to_string(seconds));
+  }
+  if (!new_token.empty()) {
+    this->response.set("Idempotency-Key", new_token);
+  }
+  this->response.keep_alive(this->keep_alive && !close && !this->server.closing);
+  this->response.body() = std::move(body);
+  this->response.prepare_payload();
+  this->SetTimer(this->server.options.write_limit);
+  http::async_write(this->socket, this->response,
+                    [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                      if (self->phase == Phase::kClosed) {
+                        return;
+                      }
+                      if (!error && self->input_unread) {
+                        boost::system::error_code ignored;
+                        self->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                        self->phase = Phase::kDraining;
+                        self->SetTimer(kDrainLimit);
+                        self->DrainInput();
+                        return;
+                      }
+                      if (error || !self->response.keep_alive()) {
+                        self->Leave();
+                        return;
+                      }
+                      self->response = {};
+                      self->ReadNext();
+                    });
+}
+
+// Closing a socket with unread input resets the connection, and the peer may lose the refusal.
+void CallerServer::Session::DrainInput() {
+  this->buffer.clear();
+  this->socket.async_read_some(
+      this->buffer.prepare(4096),
+      [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+        if (self->phase != Phase::kDraining) {
+          return;
+        }
+        self->drained += size;
+        if (error || self->drained > kDrainBytes) {
+          self->Leave();
+          return;
+        }
+        self->DrainInput();
+      });
+}
+
+void CallerServer::Session::SetTimer(Duration limit) {
+  this->timer.expires_after(limit);
+  this->timer.async_wait(
+      [self = this->shared_from_this(), run = ++this->timer_run](boost::system::error_code error) {
+        if (!error && run == self->timer_run) {
+          self->OnTimer();
+        }
+      });
+}
+
+void CallerServer::Session::OnTimer() {
+  boost::system::error_code ignored;
+  switch (this->phase) {
+    case Phase::kReceiving:
+      this->timed_out = true;
+      this->socket.cancel(ignored);
+      return;
+    case Phase::kWaiting:
+      this->server.waiting.erase(this->ticket);
+      this->server.on_abandon(this->ticket);
+      this->Write(504,
+                  RefusalBody("deadline", "no answer within the deadline", Verdict::kMayHaveRun,
+                              Duration{}),
+                  Duration{}, "", false);
+      return;
+    case Phase::kIdle:
+    case Phase::kWriting:
+    case Phase::kDraining:
+      this->Leave();
+      return;
+    case Phase::kClosed:
+      return;
+  }
+}
+
+void CallerServer::Session::Close() {
+  if (this->phase == Phase::kWaiting) {
+    this->server.waiting.erase(this->ticket);
+  }
+  this->phase = Phase::kClosed;
+  boost::system::error_code ignored;
+  this->timer.cancel();
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+}
+
+void CallerServer::Session::Leave() {
+  this->Close();
+  this->server.sessions.erase(this->shared_from_this());
+}
+
+}  // namespace ibishold
