--- a/src/front/frames.cc
+++ b/src/front/frames.cc
@@ -4,14 +4,22 @@
 
 namespace ibishold {
 
-namespace {
-
 std::uint64_t MicrosecondsLeft(TimePoint deadline, TimePoint now) {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - now).count();
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
 }
 
-}  // namespace
+// A verdict that this build does not know must not be taken for "not run".
+Verdict ReadVerdict(wire::Verdict verdict) {
+  switch (verdict) {
+    case wire::Verdict::NOT_RUN:
+      return Verdict::kNotRun;
+    case wire::Verdict::RAN:
+      return Verdict::kRan;
+    default:
+      return Verdict::kMayHaveRun;
+  }
+}
 
 capnp::Data::Reader ToData(std::string_view text) {
   return {reinterpret_cast<const capnp::byte*>(text.data()), text.size()};
@@ -42,6 +50,7 @@
     requests[i].setLeaf(call.leaf.value);
     requests[i].setShard(call.shard.value);
     requests[i].setHedge(call.hedge);
+    requests[i].setCanary(call.canary);
   }
 }
 
@@ -58,10 +67,7 @@
   LeafReply reply;
   reply.attempt = answer.getAttempt();
   reply.outcome = answer.getOutcome();
-  // A verdict that this build does not know must not be taken for "not run".
-  reply.verdict = answer.getVerdict() == wire::Verdict::NOT_RUN ? Verdict::kNotRun
-                  : answer.getVerdict() == wire::Verdict::RAN   ? Verdict::kRan
-                                                                : Verdict::kMayHaveRun;
+  reply.verdict = ReadVerdict(answer.getVerdict());
   reply.complete = answer.getComplete();
   reply.records = FromData(answer.getRecords());
   reply.stated = {.index_version = answer.getIndexVersion(),
@@ -71,7 +77,20 @@
   }
   reply.retry_after = std::chrono::milliseconds(answer.getRetryAfterMillis());
   reply.message = answer.getMessage().cStr();
+  if (reply.outcome == wire::Outcome::LEAF_LOST) {
+    reply.dead_incarnation = answer.getLeafIncarnation();
+  }
   return reply;
 }
 
+QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader report) {
+  QuarantineReport result;
+  result.fingerprint = report.getFingerprint();
+  result.crash_age = std::chrono::milliseconds(report.getCrashAgeMillis());
+  for (const std::uint64_t crash : report.getAloneCrashes()) {
+    result.alone_crashes.push_back(crash);
+  }
+  return result;
+}
+
 }  // namespace ibishold
--- a/src/front/query_engine.cc
+++ b/src/front/query_engine.cc
@@ -50,9 +50,9 @@
     : options(options),
       dispatcher(dispatcher),
       planner(dispatcher.tracker),
-      admission(options.admission, options.seed),
       hedges(options.hedge_budget),
-      retries(options.retry_budget) {}
+      retries(options.retry_budget),
+      quarantine(options.quarantine) {}
 
 void QueryEngine::Start(CallerRequest request, TimePoint now) {
   const ControlViewPtr& view = this->dispatcher.view();
@@ -76,8 +76,8 @@
     return;
   }
   const AdmissionResult admitted =
-      this->admission.Admit(request.service, request.tenant, request.request_class,
-                            this->dispatcher.LimitsOf(request.service), now);
+      this->dispatcher.admission.Admit(request.service, request.tenant, request.request_class,
+                                       this->dispatcher.LimitsOf(request.service), now);
   if (!admitted.admitted) {
     const bool rate = admitted.refusal == Refusal::kRate;
     this->Refuse(request, rate ? 429 : 503, NameOf(kRefusalNames, admitted.refusal),
@@ -101,11 +101,14 @@
                   .tenant = request.tenant,
                   .request_class = request.request_class,
                   .deadline = query.answer_at,
-                  .fingerprint = StableHash(request.body, StableHash(request.service.value)),
+                  .fingerprint = Fingerprint(request.service, request.body),
                   .body = std::make_shared<const std::string>(std::move(request.body))};
   request.body.clear();
   query.request = std::move(request);
   this->dispatcher.timers.Add({.at = query.answer_at, .kind = TimerKind::kAnswer, .id = id});
+  if (!this->PassQuarantine(query, pinned->service->shards.size() > 1, now)) {
+    return;
+  }
   this->Plan(query, *std::move(pinned), now);
   this->FinishIfDone(query, now);
 }
@@ -117,7 +120,14 @@
   const std::size_t count = this->PinOf(query).service->shards.size();
   query.shards.assign(count, {});
   query.done_count = 0;
+  if (query.canary_shard) {
+    query.canary_shard = query.header.fingerprint % count;
+  }
   for (std::size_t shard = 0; shard < count; ++shard) {
+    if (query.canary_shard.value_or(shard) != shard) {
+      continue;
+    }
+    query.shards[shard].alone = query.canary_shard.has_value();
     if (!this->AskOrWait(query, shard, Extra::kFirst, now)) {
       query.merger->SetReason(shard, "no_replica");
       this->ShardDone(query, shard);
@@ -144,7 +154,10 @@
     return false;
   }
   const std::uint64_t attempt = this->dispatcher.Start(
-      query.header, shard, service.shards[shard].id, *route, extra == Extra::kHedge, now);
+      query.header, shard,
+      {.shard = service.shards[shard].id, .hedge = extra == Extra::kHedge, .canary = run.alone},
+      *route, now);
+  this->dispatcher.counters.canaries += run.alone ? 1 : 0;
   run.tried.push_back(route->leaf->id);
   run.out.push_back(attempt);
   ++run.attempts;
@@ -152,7 +165,7 @@
     this->hedges.Request();
     this->retries.Request();
   }
-  if (!run.hedged && service.shards[shard].leaves.size() > 1 &&
+  if (!run.hedged && !run.alone && service.shards[shard].leaves.size() > 1 &&
       this->dispatcher.shares.RowOf(service.name, route->leaf->data_centre).hedge) {
     const Duration delay =
         this->dispatcher.latency.Quantile(route->leaf->id, this->options.hedge_quantile)
@@ -161,7 +174,8 @@
                                  .kind = TimerKind::kHedge,
                                  .id = query.header.request,
                                  .epoch = query.header.epoch,
-                                 .shard = shard});
+                                 .shard = shard,
+                                 .attempt = attempt});
   }
   return true;
 }
@@ -203,6 +217,7 @@
   Query& query = found->second;
   ShardRun& run = query.shards[attempt.shard];
   std::erase(run.out, attempt.id);
+  query.may_have_run |= reply.verdict != Verdict::kNotRun;
   if (run.done) {
     ++this->dispatcher.counters.late_replies;
     return;
@@ -211,6 +226,11 @@
     this->OnFailure(query, attempt, reply, now);
     return;
   }
+  if (run.alone) {
+    this->ReturnPermit(query, true, now);
+    run.alone = false;
+    query.canary_succeeded = true;
+  }
   const MergeResult result = query.merger->Add(
       attempt.shard,
       {.snapshot = reply.stated, .complete = reply.complete, .records = reply.records});
@@ -287,8 +307,8 @@
     }
     asked = asked || retry();
   } else if (reply.outcome != wire::Outcome::QUARANTINED) {
-    asked =
-        run.out.empty() && this->retries.TryTake() && this->Ask(query, shard, Extra::kRetry, now);
+    asked = run.out.empty() && this->MayRetryAfterCrash(query, attempt, reply, now) &&
+            this->retries.TryTake() && this->Ask(query, shard, Extra::kRetry, now);
     this->dispatcher.counters.retries += asked ? 1 : 0;
   }
   this->dispatcher.Flush(query.header);
@@ -308,6 +328,9 @@
     return false;
   }
   query.replanned = true;
+  // Attempts of the first plan may have run although their answers no longer count.
+  query.may_have_run |= std::any_of(query.shards.begin(), query.shards.end(),
+                                    [](const ShardRun& run) { return !run.out.empty(); });
   ++this->dispatcher.counters.replans;
   this->CancelOut(query);
   this->Plan(query, *std::move(pinned), now);
@@ -343,7 +366,8 @@
       this->ShardDone(query, timer.shard);
     }
   } else if (timer.kind == TimerKind::kHedge && !run.hedged && run.out.size() == 1 &&
-             this->hedges.balance() >= 1 && this->Ask(query, timer.shard, Extra::kHedge, now)) {
+             run.out[0] == timer.attempt && this->hedges.balance() >= 1 &&
+             this->Ask(query, timer.shard, Extra::kHedge, now)) {
     run.hedged = true;
     this->hedges.TryTake();
     ++this->dispatcher.counters.hedges;
@@ -382,13 +406,17 @@
 }
 
 void QueryEngine::FinishIfDone(Query& query, TimePoint now) {
+  if (query.canary_shard && query.shards[*query.canary_shard].done) {
+    this->CanaryDone(query, now);
+  }
   if (query.done_count == query.shards.size()) {
     this->Finish(query, now);
   }
 }
 
 void QueryEngine::Release(Query& query, TimePoint now) {
-  this->admission.Done(query.request.service, query.request.tenant, now);
+  this->ReturnPermit(query, false, now);
+  this->dispatcher.admission.Done(query.request.service, query.request.tenant, now);
   this->by_ticket.erase(query.request.ticket);
   this->queries.erase(query.header.request);
 }
