--- a/include/ibishold/policy.h
+++ b/include/ibishold/policy.h
@@ -114,6 +114,10 @@
 
   void GoCold(ColdReason reason);
 
+  // This owner has not watched the leaf for a while. Cold like a fresh object; unlike GoCold it is
+  // no evidence for the other owner.
+  void Forget();
+
   // Number of the current level; taken at the start of a call and given back at its end, so that
   // only calls started at this level count for it.
   std::uint64_t stage() const { return this->current_stage; }
--- a/src/broker/broker.cc
+++ b/src/broker/broker.cc
@@ -31,7 +31,7 @@
                 [this](ToLink message) { this->link_duty.OnLeafMessage(std::move(message)); },
                 {.capacity = options.limits.ring_capacity}),
         views(leaf_context.get_executor(),
-              [this](const ControlViewPtr& view) { this->leaf_duty.OnView(view); },
+              [this](const PlannedView& view) { this->leaf_duty.OnView(view); },
               {.capacity = 256}) {}
 
   BrokerOptions options;
@@ -41,7 +41,8 @@
   LeafDuty leaf_duty;
   Ring<ToLeaf> to_leaf;
   Ring<ToLink> to_link;
-  Ring<ControlViewPtr> views;
+  Ring<PlannedView> views;
+  PlannedView planned;  // the last one; used by the thread that calls OnView
   std::thread link_thread;
   std::thread leaf_thread;
 };
@@ -68,8 +69,27 @@
 }
 
 void Broker::OnView(ControlViewPtr view) {
-  // If the ring is full, a later view or the latest one at the next change replaces this one.
-  this->state->views.Push(std::move(view));
+  PlannedView& next = this->state->planned;
+  const ControlViewPtr before = std::exchange(next.view, std::move(view));
+  if (!next.view || !next.view->topology || !next.view->vms) {
+    return;
+  }
+  // Placement takes too long for the leaf thread when the fleet is large.
+  if (!before || before->topology != next.view->topology || before->vms != next.view->vms) {
+    next.plan = std::make_shared<const SlotPlan>(*next.view->topology, *next.view->vms);
+    VmList without = *next.view->vms;
+    for (VmEntry& vm : without.vms) {
+      if (vm.id == this->state->options.vm) {
+        vm.state = VmState::kLeaving;
+      }
+    }
+    next.plan_without = std::make_shared<const SlotPlan>(*next.view->topology, without);
+  }
+  PlannedView copy = next;
+  if (!this->state->views.Push(std::move(copy))) {
+    // The next view supersedes this one and gets a new placement.
+    next.view.reset();
+  }
 }
 
 void Broker::BeginStop(std::function<void()> on_stopped) {
--- a/src/broker/leaf_connections.cc
+++ b/src/broker/leaf_connections.cc
@@ -24,6 +24,11 @@
       this->CountCold();
     }
   }
+  if (std::exchange(this->absent, false)) {
+    this->warm_up.Forget();
+    this->times.Forget();
+    this->CountCold();
+  }
   this->Verify(id, now);
 }
 
@@ -264,6 +269,7 @@
 void LeafDispatcher::CloseOwn(std::uint64_t id) {
   if (this->connections.erase(id) > 0) {
     this->actions.emplace_back(CloseConnection{.connection = id});
+    this->absent = this->absent || this->connections.empty();
   }
 }
 
--- a/src/broker/leaf_dispatcher.h
+++ b/src/broker/leaf_dispatcher.h
@@ -15,6 +15,7 @@
 #include "broker/leaf_work.h"
 #include "ibishold/leaf.h"
 #include "ibishold/policy.h"
+#include "ibishold/quarantine.h"
 
 namespace ibishold {
 
@@ -42,7 +43,7 @@
 };
 // These attempts were running when the leaf restarted or all its connections were reset.
 struct ReportSuspects {
-  std::vector<std::uint64_t> fingerprints;
+  LeafCrash crash;
 };
 
 using LeafAction = std::
@@ -201,6 +202,7 @@
   bool closed = false;
   TimePoint recheck_at{};  // while the leaf drains
   bool connected = false;  // a connection was open and the leaf has not dropped all since
+  bool absent = false;     // all connections were closed here, so the leaf was not watched
   bool unreachable = false;
   Duration backoff{};
   TimePoint open_after{};
--- a/src/broker/leaf_duty.cc
+++ b/src/broker/leaf_duty.cc
@@ -12,13 +12,15 @@
 // Deadlines and expiries are kept to this accuracy.
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kStateInterval = std::chrono::milliseconds(500);
-// The other owner hears of the level again after this time, because a message may be lost.
-constexpr Duration kTellInterval = std::chrono::seconds(2);
 
 }  // namespace
 
 LeafDuty::LeafDuty(boost::asio::io_context& context, const BrokerOptions& options, PushToLink push)
-    : context(context), options(options), push(std::move(push)), timer(context) {}
+    : context(context),
+      options(options),
+      push(std::move(push)),
+      timer(context),
+      holder({.vm = options.vm, .takeover_wait = options.limits.takeover_wait}) {}
 
 void LeafDuty::Start() {
   this->ScheduleTick();
@@ -26,28 +28,9 @@
 
 void LeafDuty::OnLinkMessage(ToLeaf message) {
   if (auto* work = std::get_if<LeafWork>(&message)) {
-    Entry* entry = this->Find(work->leaf);
-    if (entry == nullptr) {
-      this->RefuseUnknown(std::move(*work));
-      return;
-    }
-    this->Handle(*entry, [work](LeafDispatcher& dispatcher, TimePoint time) {
-      dispatcher.Submit(std::move(*work), time);
-    });
+    this->OnWork(std::move(*work));
   } else if (const auto* cancel = std::get_if<CancelWork>(&message)) {
-    // An attempt goes to one leaf only; the one that knows it answers.
-    for (const auto& [name, entry] : this->entries) {
-      if (entry->dispatcher->Knows(cancel->link, cancel->attempt)) {
-        this->Handle(*entry, [cancel](LeafDispatcher& dispatcher, TimePoint time) {
-          dispatcher.Cancel(cancel->link, cancel->correlation, cancel->attempt, time);
-        });
-        return;
-      }
-    }
-    this->Emit(AnswerCancel{.link = cancel->link,
-                            .correlation = cancel->correlation,
-                            .attempt = cancel->attempt,
-                            .verdict = Verdict::kMayHaveRun});
+    this->OnCancel(*cancel);
   } else if (const auto* lost = std::get_if<LinkLost>(&message)) {
     for (const auto& [name, entry] : this->entries) {
       this->Handle(*entry, [lost](LeafDispatcher& dispatcher, TimePoint time) {
@@ -55,32 +38,67 @@
       });
     }
   } else if (const auto* level = std::get_if<PeerLevel>(&message)) {
-    Entry* entry = this->Find(level->leaf);
-    // Only the other owner may speak of the level; a stale plan of a third VM must not.
-    bool from_owner = false;
-    for (const SlotOwner& owner : this->plan.OwnersOf(level->leaf)) {
-      from_owner = from_owner || owner.vm == level->vm;
-    }
-    if (entry != nullptr && from_owner) {
-      this->Handle(*entry, [level](LeafDispatcher& dispatcher, TimePoint time) {
-        dispatcher.OnPeerLevel(level->level, time);
-      });
-    }
+    this->OnPeerLevel(*level);
+  } else if (const auto* release = std::get_if<PeerRelease>(&message)) {
+    this->holder.OnRelease(release->leaf, release->slots, BootClock::now());
+  } else if (const auto* quarantined = std::get_if<PeerQuarantine>(&message)) {
+    this->OnQuarantine(*quarantined);
   }
 }
 
-void LeafDuty::OnView(const ControlViewPtr& view) {
-  if (!view || !view->topology || !view->vms) {
+void LeafDuty::OnWork(LeafWork work) {
+  const Duration refused_for = this->quarantine.RefusedFor(work.fingerprint, BootClock::now());
+  Entry* entry = this->Find(work.leaf);
+  if (entry != nullptr && refused_for == Duration{}) {
+    this->Handle(*entry, [&work](LeafDispatcher& dispatcher, TimePoint time) {
+      dispatcher.Submit(std::move(work), time);
+    });
     return;
   }
+  AnswerWork refusal;
+  refusal.result.verdict = Verdict::kNotRun;
+  refusal.result.retry_after = refused_for;
+  if (refused_for > Duration{}) {
+    refusal.result.outcome = wire::Outcome::QUARANTINED;
+    refusal.result.message = "request has crashed leaves";
+  } else {
+    refusal.result.outcome = wire::Outcome::NOT_OWNER;
+    refusal.result.message = "no slot of this leaf is held here";
+  }
+  refusal.work = std::move(work);
+  this->Emit(std::move(refusal));
+}
+
+void LeafDuty::OnCancel(const CancelWork& cancel) {
+  // An attempt goes to one leaf only; the one that knows it answers.
+  for (const auto& [name, entry] : this->entries) {
+    if (entry->dispatcher->Knows(cancel.link, cancel.attempt)) {
+      this->Handle(*entry, [&cancel](LeafDispatcher& dispatcher, TimePoint time) {
+        dispatcher.Cancel(cancel.link, cancel.correlation, cancel.attempt, time);
+      });
+      return;
+    }
+  }
+  this->Emit(AnswerCancel{.link = cancel.link,
+                          .correlation = cancel.correlation,
+                          .attempt = cancel.attempt,
+                          .verdict = Verdict::kMayHaveRun});
+}
+
+void LeafDuty::OnView(const PlannedView& planned) {
   const TimePoint now = BootClock::now();
-  this->plan = SlotPlan(*view->topology, *view->vms);
+  const ControlView& view = *planned.view;
+  const bool placed = this->latest.plan != planned.plan;
+  this->latest = planned;
+  if (placed && !this->stopping) {
+    this->holder.OnPlan(planned.plan, view.vms->generation, now);
+  }
   std::set<std::string> known;
-  for (const Service& service : view->topology->services) {
+  for (const Service& service : view.topology->services) {
     for (const Shard& shard : service.shards) {
       for (const Leaf& leaf : shard.leaves) {
         known.insert(leaf.id.value);
-        this->ApplyLeaf(leaf, service, *view, now);
+        this->ApplyLeaf(leaf, service, view, now);
       }
     }
   }
@@ -97,8 +115,8 @@
                          const ControlView& view,
                          TimePoint now) {
   const bool direct = this->options.limits.policy == BrokerPolicy::kDirect;
-  const std::vector<SlotOwner>& owners = this->plan.OwnersOf(leaf.id);
-  const bool owned = direct || this->plan.SlotsOf(this->options.vm, leaf.id) > 0;
+  const std::vector<SlotOwner>& owners = this->holder.plan().OwnersOf(leaf.id);
+  const bool owned = direct || this->holder.plan().SlotsOf(this->options.vm, leaf.id) > 0;
   Entry* entry = this->Find(leaf.id);
   if (entry == nullptr) {
     if (!owned) {
@@ -134,14 +152,12 @@
   });
 }
 
-std::uint32_t LeafDuty::UsableSlots(const Entry& entry, TimePoint now) const {
+std::uint32_t LeafDuty::UsableSlots(const Entry& entry, TimePoint now) {
   if (this->options.limits.policy == BrokerPolicy::kDirect) {
-    return entry.total_slots;
-  }
-  if (this->stopping || now >= this->options.hold_until()) {
-    return 0;
+    return this->stopping ? 0 : entry.total_slots;
   }
-  return this->plan.SlotsOf(this->options.vm, entry.dispatcher->leaf());
+  this->holder.CheckHold(this->options.hold_until(), now);
+  return this->holder.Usable(entry.dispatcher->leaf(), now);
 }
 
 LeafDuty::Entry* LeafDuty::Find(const LeafId& leaf) {
@@ -149,27 +165,12 @@
   return found == this->entries.end() ? nullptr : found->second.get();
 }
 
-void LeafDuty::RefuseUnknown(LeafWork work) {
-  AnswerWork answer{.work = std::move(work)};
-  answer.result.outcome = wire::Outcome::NOT_OWNER;
-  answer.result.verdict = Verdict::kNotRun;
-  answer.result.message = "no slot of this leaf is held here";
-  this->Emit(std::move(answer));
-}
-
-template <typename Event>
-void LeafDuty::Handle(Entry& entry, const Event& event) {
-  const TimePoint now = BootClock::now();
-  entry.dispatcher->SetSlots(this->UsableSlots(entry, now), now);
-  event(*entry.dispatcher, now);
-  this->Perform(entry, now);
-}
-
 void LeafDuty::Perform(Entry& entry, TimePoint now) {
   for (LeafAction& action : entry.dispatcher->TakeActions()) {
     this->PerformAction(entry, action);
   }
   this->TellOwners(entry, now);
+  this->HandOver(entry);
 }
 
 void LeafDuty::PerformAction(Entry& entry, LeafAction& action) {
@@ -191,6 +192,8 @@
     this->Emit(std::move(*answer));
   } else if (const auto* cancel = std::get_if<AnswerCancel>(&action)) {
     this->Emit(*cancel);
+  } else if (const auto* report = std::get_if<ReportSuspects>(&action)) {
+    this->OnCrash(report->crash);
   }
 }
 
@@ -222,28 +225,6 @@
   }
 }
 
-void LeafDuty::TellOwners(Entry& entry, TimePoint now) {
-  if (this->options.limits.policy == BrokerPolicy::kDirect || !this->options.limits.warm_up) {
-    entry.dispatcher->TakeLevelMessage();
-    return;
-  }
-  const std::vector<SlotOwner>& owners = this->plan.OwnersOf(entry.dispatcher->leaf());
-  std::optional<LeafLevel> level = entry.dispatcher->TakeLevelMessage();
-  const bool primary = !owners.empty() && owners.front().vm == this->options.vm;
-  if (!level && primary && now - entry.told_at >= kTellInterval) {
-    level = entry.dispatcher->Level();
-  }
-  if (!level) {
-    return;
-  }
-  entry.told_at = now;
-  for (const SlotOwner& owner : owners) {
-    if (owner.vm != this->options.vm) {
-      this->Emit(PeerLevel{.vm = owner.vm, .leaf = entry.dispatcher->leaf(), .level = *level});
-    }
-  }
-}
-
 void LeafDuty::ScheduleTick() {
   this->timer.expires_after(kTick);
   this->timer.async_wait([this](boost::system::error_code error) {
@@ -258,6 +239,12 @@
   while (!this->backlog.empty() && this->push(std::move(this->backlog.front()))) {
     this->backlog.pop_front();
   }
+  if (std::exchange(this->suspects_changed, false)) {
+    const TimePoint now = BootClock::now();
+    for (const QuarantineReport& report : this->quarantine.Export(now)) {
+      this->RefuseQuarantined(report.fingerprint, now);
+    }
+  }
   bool idle = true;
   for (const auto& [name, entry] : this->entries) {
     this->Handle(*entry, [](LeafDispatcher& dispatcher, TimePoint now) { dispatcher.Tick(now); });
@@ -268,6 +255,7 @@
     this->state_at = now;
     this->PublishState();
     this->PublishCounters();
+    this->RemoveUnused();
   }
   if (this->stopping && this->on_stopped && (idle || now >= this->stop_at)) {
     std::exchange(this->on_stopped, nullptr)();
@@ -276,6 +264,10 @@
 
 void LeafDuty::BeginStop(std::function<void()> new_on_stopped) {
   this->stopping = true;
+  if (this->latest.view) {
+    this->holder.Leave(this->latest.plan_without, this->latest.view->vms->generation,
+                       BootClock::now());
+  }
   this->stop_at = BootClock::now() + this->options.limits.stop_limit;
   this->on_stopped = std::move(new_on_stopped);
 }
--- a/src/broker/leaf_duty.h
+++ b/src/broker/leaf_duty.h
@@ -16,6 +16,7 @@
 #include "ibishold/broker.h"
 #include "ibishold/leaf.h"
 #include "ibishold/ownership.h"
+#include "ibishold/quarantine.h"
 
 namespace ibishold {
 
@@ -30,7 +31,7 @@
 
   void Start();
   void OnLinkMessage(ToLeaf message);       // from the link thread
-  void OnView(const ControlViewPtr& view);  // from the control thread
+  void OnView(const PlannedView& planned);  // from the control thread
   void BeginStop(std::function<void()> on_stopped);
   void Close();
 
@@ -48,16 +49,32 @@
 
   // Calls the event with the slots in force now and carries out what follows from it.
   template <typename Event>
-  void Handle(Entry& entry, const Event& event);
+  void Handle(Entry& entry, const Event& event) {
+    const TimePoint now = BootClock::now();
+    entry.dispatcher->SetSlots(this->UsableSlots(entry, now), now);
+    event(*entry.dispatcher, now);
+    this->Perform(entry, now);
+  }
   void Perform(Entry& entry, TimePoint now);
   void PerformAction(Entry& entry, LeafAction& action);
   void Open(Entry& entry, std::uint64_t id);
   void Emit(ToLink message);
+  std::uint32_t UsableSlots(const Entry& entry, TimePoint now);
+  void OnWork(LeafWork work);
+  void OnCancel(const CancelWork& cancel);
+
+  // leaf_duty_peers.cc
+  void OnPeerLevel(const PeerLevel& level);
   void TellOwners(Entry& entry, TimePoint now);
-  std::uint32_t UsableSlots(const Entry& entry, TimePoint now) const;
+  void HandOver(const Entry& entry);
+  void OnCrash(const LeafCrash& crash);
+  void OnQuarantine(const PeerQuarantine& entry);
+  void RefuseQuarantined(std::uint64_t fingerprint, TimePoint now);
+  void SpreadQuarantine(TimePoint now);
+  void RemoveUnused();
+
   Entry* Find(const LeafId& leaf);
   void ApplyLeaf(const Leaf& leaf, const Service& service, const ControlView& view, TimePoint now);
-  void RefuseUnknown(LeafWork work);
 
   void ScheduleTick();
   void Tick();
@@ -73,7 +90,10 @@
   std::deque<ToLink> backlog;  // the link thread had no room
   DispatchCounters counters;
   DispatchCounters published;
-  SlotPlan plan;
+  PlannedView latest;
+  SlotHolder holder;
+  Quarantine quarantine;
+  bool suspects_changed = false;
   bool stopping = false;
   std::function<void()> on_stopped;
   TimePoint stop_at{};
--- a/src/broker/leaf_running.cc
+++ b/src/broker/leaf_running.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -137,6 +138,7 @@
   LeafResult result;
   result.outcome = wire::Outcome::LEAF_LOST;
   result.message = message;
+  result.leaf_incarnation = entry.incarnation;
   result.queue_time = entry.sent_at - entry.work.received;
   result.service_time = now - entry.sent_at;
   this->Answer(entry.work, std::move(result));
@@ -148,10 +150,13 @@
   for (auto& [call, entry] : this->running) {
     // A cancelled attempt may have crashed the leaf as well as one that is waited for.
     if (!std::exchange(entry.reported, true)) {
-      report.fingerprints.push_back(entry.work.fingerprint);
+      report.crash.incarnation = std::max(report.crash.incarnation, entry.incarnation);
+      report.crash.in_flight.push_back(
+          {.fingerprint = entry.work.fingerprint, .alone = entry.work.canary});
     }
   }
-  if (!report.fingerprints.empty()) {
+  if (!report.crash.in_flight.empty()) {
+    report.crash.leaf = this->options.leaf;
     this->actions.emplace_back(std::move(report));
   }
 }
--- a/src/broker/link_duty.cc
+++ b/src/broker/link_duty.cc
@@ -28,6 +28,7 @@
       push(std::move(push)),
       server(context, OptionsOf(options)),
       pool(context, OptionsOf(options)),
+      retry_timer(context),
       random(options.incarnation),
       overflow_refusals(
           options.metrics->AddCounter("ibishold_broker_ring_refusals_total",
@@ -76,11 +77,13 @@
     }
     case wire::Frame::Body::QUARANTINE: {
       const auto entry = body.getQuarantine();
-      this->push(
-          ToLeaf(PeerQuarantine{.vm = link.peer_vm(),
-                                .fingerprint = entry.getFingerprint(),
-                                .crashes = entry.getCrashes(),
-                                .time_left = std::chrono::milliseconds(entry.getTtlMillis())}));
+      PeerQuarantine message;
+      message.report.fingerprint = entry.getFingerprint();
+      message.report.crash_age = std::chrono::milliseconds(entry.getCrashAgeMillis());
+      for (const std::uint64_t crash : entry.getAloneCrashes()) {
+        message.report.alone_crashes.push_back(crash);
+      }
+      this->push(ToLeaf(std::move(message)));
       return;
     }
     default:
@@ -128,19 +131,9 @@
   } else if (const auto* cancel = std::get_if<AnswerCancel>(&message)) {
     this->SendCancelResult(*cancel);
   } else if (const auto* level = std::get_if<PeerLevel>(&message)) {
-    capnp::MallocMessageBuilder builder;
-    auto state = builder.initRoot<wire::Frame>().getBody().initLeafState();
-    state.setLeaf(level->leaf.value);
-    state.setIncarnation(level->level.incarnation);
-    state.setLevel(level->level.level);
-    state.setWarm(level->level.warm);
-    this->SendToPeer(level->vm, builder);
+    this->SendLevel(*level);
   } else if (const auto* release = std::get_if<PeerRelease>(&message)) {
-    capnp::MallocMessageBuilder builder;
-    auto body = builder.initRoot<wire::Frame>().getBody().initSlotRelease();
-    body.setLeaf(release->leaf.value);
-    body.setSlots(release->slots);
-    this->SendToPeer(release->vm, builder);
+    this->SendRelease(*release);
   } else if (const auto* entry = std::get_if<PeerQuarantine>(&message)) {
     this->SendQuarantine(*entry);
   }
@@ -163,6 +156,7 @@
 
 void LinkDuty::Close() {
   this->server.Close();
+  this->retry_timer.cancel();
   this->pool.CloseAll(absl::CancelledError("broker stops"));
   for (const auto& [id, entry] : this->links) {
     if (const FrameLinkPtr link = entry.link.lock()) {
--- a/src/broker/link_duty.h
+++ b/src/broker/link_duty.h
@@ -2,7 +2,10 @@
 #define IBISHOLD_BROKER_LINK_DUTY_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -36,6 +39,12 @@
     bool wants_views = false;
   };
 
+  using PeerMessage = std::unique_ptr<capnp::MessageBuilder>;
+  struct WaitingMessage {  // the link to its VM is not open
+    PeerMessage message;
+    TimePoint expires{};
+  };
+
   void OnFrame(FrameLink& link, wire::Frame::Reader frame);
   void OnClose(FrameLink& link);
   std::uint64_t IdOf(FrameLink& link);
@@ -48,8 +57,14 @@
   void OnGetDocument(FrameLink& link, std::uint64_t correlation, wire::GetDocument::Reader request);
   void SendAnswer(const AnswerWork& answer);
   void SendCancelResult(const AnswerCancel& answer);
-  void SendToPeer(const VmId& vm, capnp::MessageBuilder& message);
+
+  // link_peers.cc
+  void SendLevel(const PeerLevel& level);
+  void SendRelease(const PeerRelease& release);
   void SendQuarantine(const PeerQuarantine& entry);
+  void SendToPeer(const VmId& vm, PeerMessage message);
+  void FlushPeer(const VmId& vm, std::deque<WaitingMessage>& queue);
+  void ScheduleRetry();
 
   boost::asio::io_context& context;
   const BrokerOptions& options;
@@ -58,7 +73,9 @@
   LinkPool pool;
   bool stopping = false;
   std::uint64_t last_link = 0;
-  std::uint64_t peer_correlation = 0;
+  std::map<VmId, std::deque<WaitingMessage>> waiting;
+  boost::asio::steady_timer retry_timer;
+  bool retry_scheduled = false;
   Random random;
   std::unordered_map<const FrameLink*, std::uint64_t> ids;
   std::unordered_map<std::uint64_t, FrontLink> links;
--- a/src/broker/link_frames.cc
+++ b/src/broker/link_frames.cc
@@ -170,45 +170,4 @@
   link->Send(builder).IgnoreError();
 }
 
-void LinkDuty::SendToPeer(const VmId& vm, capnp::MessageBuilder& message) {
-  const ControlViewPtr view = this->options.view();
-  const VmEntry* entry = view && view->vms ? view->vms->Find(vm) : nullptr;
-  if (entry == nullptr) {
-    return;
-  }
-  if (const FrameLinkPtr link = this->pool.Get(entry->address, this->options.link_port)) {
-    message.getRoot<wire::Frame>().setCorrelation(link->NextCorrelation());
-    link->Send(message).IgnoreError();
-  }
-}
-
-void LinkDuty::SendQuarantine(const PeerQuarantine& entry) {
-  const auto fill = [&entry](capnp::MessageBuilder& builder) {
-    auto out = builder.initRoot<wire::Frame>().getBody().initQuarantine();
-    out.setFingerprint(entry.fingerprint);
-    out.setCrashes(entry.crashes);
-    out.setTtlMillis(Millis(entry.time_left));
-  };
-  for (const auto& [id, front] : this->links) {
-    const FrameLinkPtr link = front.link.lock();
-    if (link && link->peer_role() == wire::Hello::Role::FRONT) {
-      capnp::MallocMessageBuilder builder;
-      fill(builder);
-      builder.getRoot<wire::Frame>().setCorrelation(link->NextCorrelation());
-      link->Send(builder).IgnoreError();
-    }
-  }
-  const ControlViewPtr view = this->options.view();
-  if (!view || !view->vms) {
-    return;
-  }
-  for (const VmEntry& vm : view->vms->vms) {
-    if (vm.state == VmState::kLive && vm.id != this->options.vm) {
-      capnp::MallocMessageBuilder builder;
-      fill(builder);
-      this->SendToPeer(vm.id, builder);
-    }
-  }
-}
-
 }  // namespace ibishold
--- a/src/broker/messages.h
+++ b/src/broker/messages.h
@@ -7,6 +7,8 @@
 #include "broker/leaf_dispatcher.h"
 #include "broker/leaf_work.h"
 #include "ibishold/core.h"
+#include "ibishold/ownership.h"
+#include "ibishold/quarantine.h"
 
 namespace ibishold {
 
@@ -33,13 +35,21 @@
   LeafId leaf;
   std::uint32_t slots = 0;
 };
-struct PeerQuarantine {
-  VmId vm;  // empty towards the link thread: to all fronts and some peers
-  std::uint64_t fingerprint = 0;
-  std::uint32_t crashes = 0;
-  Duration time_left{};
+struct PeerQuarantine {  // towards the link thread: to all fronts and some brokers
+  QuarantineReport report;
+  Duration refused_for{};  // 0: not refused
 };
 
+// ---- From the control thread to the leaf thread -------------------------------------------------
+
+struct PlannedView {
+  ControlViewPtr view;
+  std::shared_ptr<const SlotPlan> plan;          // of the view
+  std::shared_ptr<const SlotPlan> plan_without;  // as if this VM were leaving
+};
+
+// ---- Contents of the rings ----------------------------------------------------------------------
+
 using ToLeaf = std::
     variant<std::monostate, LeafWork, CancelWork, LinkLost, PeerLevel, PeerRelease, PeerQuarantine>;
 
--- a/src/policy/warm_up.cc
+++ b/src/policy/warm_up.cc
@@ -56,12 +56,18 @@
 
 void WarmUp::GoCold(ColdReason new_reason) {
   this->reason = new_reason;
-  ++this->transitions;
+  this->transitions += this->warm || this->level > 1 ? 1 : 0;
   this->warm = false;
   this->timeouts_in_row = 0;
   this->SetLevel(1);
 }
 
+void WarmUp::Forget() {
+  this->GoCold(ColdReason::kUnknown);
+  this->known_incarnation = 0;
+  this->known_uptime = Duration{};
+}
+
 void WarmUp::Succeeded(std::uint64_t started_stage) {
   this->timeouts_in_row = 0;
   if (this->warm || !this->share.primary || started_stage != this->current_stage) {
--- a/tests/broker/sim.h
+++ b/tests/broker/sim.h
@@ -223,7 +223,7 @@
   std::map<std::uint64_t, LeafResult> answers;  // by attempt
   std::map<std::uint64_t, int> answer_count;
   std::map<std::uint64_t, Verdict> cancels;
-  std::vector<std::uint64_t> suspects;
+  std::vector<LeafCrash> crashes;
   std::map<std::uint64_t, std::vector<std::string>> carried;  // by connection, in order
   std::vector<std::string> sent;  // ids of searches and executes, in order
 };
@@ -379,8 +379,7 @@
   } else if (const auto* cancel = std::get_if<AnswerCancel>(&action)) {
     this->cancels[cancel->attempt] = cancel->verdict;
   } else if (const auto* report = std::get_if<ReportSuspects>(&action)) {
-    this->suspects.insert(this->suspects.end(), report->fingerprints.begin(),
-                          report->fingerprints.end());
+    this->crashes.push_back(report->crash);
   }
 }
 
