--- a/src/broker/leaf_running.cc
+++ b/src/broker/leaf_running.cc
@@ -78,14 +78,9 @@
       this->drain.Completed(now);
       this->times.Record(result.service_time);
       this->warm_up.Succeeded(entry.stage);
-      if (!entry.work.repeatable()) {
-        result.outcome = wire::Outcome::OK;
-        result.complete = true;
-        result.records = reply.body;
-        break;
-      }
       absl::StatusOr<LeafRecords> records = ParseLeafRecords(reply.body);
       if (!records.ok()) {
+        // Outcome "failed"; the verdict stays: the leaf has run it.
         result.message = std::string(records.status().message());
         break;
       }
--- a/src/broker/leaf_work.h
+++ b/src/broker/leaf_work.h
@@ -39,7 +39,7 @@
   wire::Outcome outcome = wire::Outcome::FAILED;
   Verdict verdict = Verdict::kMayHaveRun;
   bool complete = false;
-  std::string records;  // JSON array of a search, body of an execute
+  std::string records;  // JSON array
   std::uint64_t index_version = 0;
   std::uint64_t map_version = 0;
   std::vector<std::uint64_t> versions_held;
