--- a/src/broker/leaf_duty.cc
+++ b/src/broker/leaf_duty.cc
@@ -11,6 +11,9 @@
 
 // Deadlines and expiries are kept to this accuracy.
 constexpr Duration kTick = std::chrono::milliseconds(10);
+// At a planned stop: for waiting work, and for the link thread to write what it has.
+constexpr Duration kDrainTime = std::chrono::seconds(2);
+constexpr Duration kFlushTime = std::chrono::milliseconds(500);
 constexpr Duration kStateInterval = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -154,7 +157,7 @@
 
 std::uint32_t LeafDuty::UsableSlots(const Entry& entry, TimePoint now) {
   if (this->options.limits.policy == BrokerPolicy::kDirect) {
-    return this->stopping ? 0 : entry.total_slots;
+    return this->left_at ? 0 : entry.total_slots;
   }
   this->holder.CheckHold(this->options.hold_until(), now);
   return this->holder.Usable(entry.dispatcher->leaf(), now);
@@ -245,10 +248,8 @@
       this->RefuseQuarantined(report.fingerprint, now);
     }
   }
-  bool idle = true;
   for (const auto& [name, entry] : this->entries) {
     this->Handle(*entry, [](LeafDispatcher& dispatcher, TimePoint now) { dispatcher.Tick(now); });
-    idle = idle && entry->dispatcher->idle();
   }
   const TimePoint now = BootClock::now();
   if (now - this->state_at >= kStateInterval) {
@@ -257,18 +258,38 @@
     this->PublishCounters();
     this->RemoveUnused();
   }
-  if (this->stopping && this->on_stopped && (idle || now >= this->stop_at)) {
+  if (this->stopping) {
+    this->ContinueStop(now);
+  }
+}
+
+// Work that waits is finished first, because the link thread already refuses new work. Then the
+// slots go to the other VMs, and the process ends when nothing is in flight.
+void LeafDuty::ContinueStop(TimePoint now) {
+  bool idle = true;
+  bool queued = false;
+  for (const auto& [name, entry] : this->entries) {
+    idle = idle && entry->dispatcher->idle();
+    queued = queued || entry->dispatcher->queued() > 0;
+  }
+  if (!this->left_at && (!queued || now >= this->drain_until)) {
+    this->left_at = now;
+    if (this->latest.view) {
+      this->holder.Leave(this->latest.plan_without, this->latest.view->vms->generation, now);
+    }
+    return;
+  }
+  // The last answers and releases must have left the link thread.
+  const bool flushed = this->left_at && now >= *this->left_at + kFlushTime && this->backlog.empty();
+  if (this->on_stopped && ((idle && flushed) || now >= this->stop_at)) {
     std::exchange(this->on_stopped, nullptr)();
   }
 }
 
 void LeafDuty::BeginStop(std::function<void()> new_on_stopped) {
   this->stopping = true;
-  if (this->latest.view) {
-    this->holder.Leave(this->latest.plan_without, this->latest.view->vms->generation,
-                       BootClock::now());
-  }
   this->stop_at = BootClock::now() + this->options.limits.stop_limit;
+  this->drain_until = BootClock::now() + kDrainTime;
   this->on_stopped = std::move(new_on_stopped);
 }
 
--- a/src/broker/leaf_duty.h
+++ b/src/broker/leaf_duty.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -78,6 +79,7 @@
 
   void ScheduleTick();
   void Tick();
+  void ContinueStop(TimePoint now);
   void PublishState();
   void PublishCounters();
   void RecordTimes(const AnswerWork& answer);
@@ -97,6 +99,8 @@
   bool stopping = false;
   std::function<void()> on_stopped;
   TimePoint stop_at{};
+  TimePoint drain_until{};
+  std::optional<TimePoint> left_at;  // slots were handed over
   TimePoint state_at{};
   mutable std::mutex state_mutex;
   std::string state_text = "{}";
