--- a/include/ibishold/caller.h
+++ b/include/ibishold/caller.h
@@ -78,11 +78,11 @@
 // ---- 4. CallerServer ----------------------------------------------------------------------------
 
 struct CallerServerCounters {
-  std::uint64_t connections = 0;  // accepted
-  std::uint64_t requests = 0;     // well-formed
-  std::uint64_t bad_input = 0;    // 4xx by the server itself
-  std::uint64_t timeouts = 0;     // slow senders
-  std::uint64_t abandoned = 0;    // callers that left before their answer
+  std::uint64_t connections = 0;   // accepted
+  std::uint64_t requests = 0;      // well-formed
+  std::uint64_t bad_input = 0;     // 4xx by the server itself
+  std::uint64_t timeouts = 0;      // slow senders
+  std::uint64_t abandoned = 0;     // callers that left before their answer
   std::uint64_t late_answers = 0;  // answers to callers that are no longer there
 };
 
@@ -106,8 +106,8 @@
   // Answers that name an unknown ticket are dropped and counted.
   void Answer(const CallerAnswer& answer);
 
-  void AnnounceClose();    // from now on answers carry Connection: close
-  void StopAccepting();    // open connections stay
+  void AnnounceClose();     // from now on answers carry Connection: close
+  void StopAccepting();     // open connections stay
   void CloseConnections();  // all, at once
 
   std::size_t connection_count() const { return this->sessions.size(); }
--- a/src/adapters/caller/parse_request.cc
+++ b/src/adapters/caller/parse_request.cc
@@ -124,18 +124,16 @@
     return Bad("bad_json", "the body is not JSON: " + error.message());
   }
   const json::object* object = value.if_object();
-  const std::string_view member =
-      request.kind == RequestKind::kQuery ? "query" : "operation";
+  const std::string_view member = request.kind == RequestKind::kQuery ? "query" : "operation";
   const json::value* content = object == nullptr ? nullptr : object->if_contains(member);
   if (content == nullptr || !content->is_object()) {
-    return Bad("bad_body", absl::StrCat("the body must hold an object \"", std::string(member),
-                                        "\""));
+    return Bad("bad_body",
+               absl::StrCat("the body must hold an object \"", std::string(member), "\""));
   }
   if (request.kind == RequestKind::kExecute) {
     const json::value* key = object->if_contains("key");
     boost::system::error_code not_a_key;
-    request.key =
-        key == nullptr ? 0 : key->to_number<std::uint64_t>(not_a_key);
+    request.key = key == nullptr ? 0 : key->to_number<std::uint64_t>(not_a_key);
     if (key == nullptr || not_a_key) {
       return Bad("bad_key", "\"key\" must be a whole number of 64 bits, not negative");
     }
--- a/src/adapters/caller/session.cc
+++ b/src/adapters/caller/session.cc
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kCancelAgain{10};
 constexpr std::chrono::seconds kDrainLimit{1};      // input read after a refusal
 constexpr std::size_t kDrainBytes = 1024UL * 1024;  // of that input
 
@@ -40,35 +41,37 @@
   this->parser->header_limit(static_cast<std::uint32_t>(this->server.options.header_limit));
   this->parser->body_limit(this->server.options.body_limit);
   this->SetTimer(this->server.options.idle_limit);
-  this->ReadSome();
+  this->WaitForFirstByte();
 }
 
-void CallerServer::Session::ReadSome() {
-  http::async_read_some(this->socket, this->buffer, *this->parser,
-                        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                          self->OnRead(error);
-                        });
-}
-
-void CallerServer::Session::OnRead(boost::system::error_code error) {
-  if (this->phase == Phase::kClosed) {
+void CallerServer::Session::WaitForFirstByte() {
+  if (this->buffer.size() > 0) {  // sent ahead with the previous request
+    this->ReadMessage();
     return;
   }
-  if (error) {
-    this->OnReadError(error);
-    return;
-  }
-  if (this->phase == Phase::kIdle) {
-    // The limit runs from the first byte to the last one, so that sending slowly does not extend
-    // it.
-    this->phase = Phase::kReceiving;
-    this->SetTimer(this->server.options.receive_limit);
-  }
-  if (!this->parser->is_done()) {
-    this->ReadSome();
-    return;
-  }
-  this->OnMessage();
+  this->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                          [self = this->shared_from_this()](beast::error_code error) {
+                            if (!error && self->phase == Phase::kIdle) {
+                              self->ReadMessage();
+                            }
+                          });
+}
+
+void CallerServer::Session::ReadMessage() {
+  // The limit runs from the first byte to the last one, so that sending slowly does not extend it.
+  this->phase = Phase::kReceiving;
+  this->SetTimer(this->server.options.receive_limit);
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                     if (self->phase == Phase::kClosed) {
+                       return;
+                     }
+                     if (error) {
+                       self->OnReadError(error);
+                     } else {
+                       self->OnMessage();
+                     }
+                   });
 }
 
 void CallerServer::Session::OnReadError(boost::system::error_code error) {
@@ -251,6 +254,8 @@
     case Phase::kReceiving:
       this->timed_out = true;
       this->socket.cancel(ignored);
+      // Bytes that arrived just now let the read go on; then it is cancelled again.
+      this->SetTimer(kCancelAgain);
       return;
     case Phase::kWaiting:
       this->server.waiting.erase(this->ticket);
--- a/src/adapters/caller/session.h
+++ b/src/adapters/caller/session.h
@@ -26,8 +26,8 @@
   enum class Phase : std::uint8_t { kIdle, kReceiving, kWaiting, kWriting, kDraining, kClosed };
 
   void ReadNext();
-  void ReadSome();
-  void OnRead(boost::system::error_code error);
+  void WaitForFirstByte();
+  void ReadMessage();
   void OnMessage();
   void OnReadError(boost::system::error_code error);
   void WatchForClose();
