--- a/include/ibishold/config.h
+++ b/include/ibishold/config.h
@@ -150,6 +150,9 @@
 struct Document {
   Digest digest;
   std::string text;  // JSON as published
+  // Raw deflate stream of the text, made once so that answering a peer costs the link thread
+  // nothing; null if the text is short or was not packed.
+  std::shared_ptr<const std::string> packed;
 };
 
 // True if `candidate` replaces `current` of the same key: a higher generation does, and of two
@@ -198,7 +201,8 @@
   const std::shared_ptr<const VmList>& vms() const { return this->vms_in_force; }
   const std::vector<Document>& documents() const { return this->in_force; }
   const std::deque<RefusedDocument>& refused() const { return this->refusals; }  // oldest first
-  std::uint64_t conflicts() const { return this->conflict_count; }  // alarms since start
+  std::uint64_t refusal_count() const { return this->refused_total; }            // since start
+  std::uint64_t conflicts() const { return this->conflict_count; }               // since start
 
  private:
   bool IsRefused(const Digest& digest) const;
@@ -208,6 +212,7 @@
   std::shared_ptr<const VmList> vms_in_force;
   std::vector<Document> in_force;
   std::deque<RefusedDocument> refusals;
+  std::uint64_t refused_total = 0;
   std::uint64_t conflict_count = 0;
 };
 
--- a/include/ibishold/control.h
+++ b/include/ibishold/control.h
@@ -5,7 +5,7 @@
 // other threads and the front act on.
 //
 // Index of this header:
-//   1. ControlOptions   addresses and intervals
+//   1. ControlOptions   addresses, callbacks, counters
 //   2. ControlDuty      the control thread
 //   3. Views on links   getView and view between a front and its broker
 //   4. Documents        getDocument and document between brokers
@@ -40,12 +40,27 @@
   std::string platform_address = "127.0.0.1";  // IP number
   std::uint16_t platform_port = 8080;          // HTTP; 8080
   Incarnation incarnation = 0;                 // of this process
-  std::uint64_t seed = 0;                      // of jitter and choices; 0: from the clock
+  std::uint64_t seed = 0;                      // of jitter and choices; 0: from the incarnation
+  std::vector<std::string> seeds;              // IP numbers of peers to ask before any list; none
 
+  // Runs on the control thread for a refused document and for two documents of one generation.
+  std::function<void(const std::string&)> on_alarm;
   // Runs on the control thread after every change of the view. Must not block.
   std::function<void(ControlViewPtr)> on_view;
 };
 
+// Counts since Start.
+struct ControlCounters {
+  std::uint64_t platform_calls = 0;
+  std::uint64_t datagrams_sent = 0;
+  std::uint64_t datagrams_received = 0;
+  std::uint64_t datagram_bytes_sent = 0;
+  std::uint64_t datagram_bytes_received = 0;
+  std::uint64_t documents_fetched = 0;  // from peers
+  std::uint64_t documents_refused = 0;
+  std::uint64_t document_conflicts = 0;
+};
+
 // ---- 2. ControlDuty -----------------------------------------------------------------------------
 
 // Runs on its own thread from Start to Stop. All methods may be called from any thread.
@@ -66,6 +81,8 @@
   // BootClock::now() before each send, because a process that was suspended holds an old view.
   TimePoint hold_until() const;
 
+  ControlCounters counters() const;
+
   void AnnounceLeaving();  // planned stop: tells the peers that this VM takes no new work
   // Tells the peers that `vm` took over the tokens of a stopped front.
   void AnnounceSuccessor(Incarnation incarnation, VmId vm);
--- a/src/config/config_store.cc
+++ b/src/config/config_store.cc
@@ -68,6 +68,7 @@
   }
   absl::StatusOr<Parsed> parsed = ParseDocument(document);
   if (!parsed.ok()) {
+    ++this->refused_total;
     this->refusals.push_back({document.digest, std::string(parsed.status().message())});
     if (this->refusals.size() > kRefusedLimit) {
       this->refusals.pop_front();
--- a/src/control/control_duty.cc
+++ b/src/control/control_duty.cc
@@ -1,75 +1,14 @@
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <mutex>
-#include <thread>
 #include <utility>
 
+#include "control/control_state.h"
 #include "ibishold/control.h"
-#include "ibishold/platform.h"
 
 namespace ibishold {
 
 namespace asio = boost::asio;
 
-struct ControlDuty::State {
-  explicit State(ControlOptions given)
-      : options(std::move(given)),
-        timer(context),
-        platform(context, {.address = options.platform_address, .port = options.platform_port}) {}
-
-  void Tick() {
-    for (const std::string_view key : {kTopologyKey, kTableKey, kVmsKey}) {
-      this->platform.Read(std::string(key), [this, key](absl::StatusOr<PlatformValue> value) {
-        if (value.ok() && value->changed) {
-          this->Accept({{std::string(key), value->generation, 0}, std::move(value->text)});
-        }
-      });
-    }
-    this->timer.expires_after(std::chrono::seconds(1));
-    this->timer.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        this->Tick();
-      }
-    });
-  }
-
-  void Accept(Document document) {
-    if (Applied(this->store.Offer(std::move(document)))) {
-      this->Publish();
-    }
-  }
-
-  void Publish() {
-    auto view = std::make_shared<ControlView>();
-    view->topology = this->store.topology();
-    view->table = this->store.table();
-    view->vms = this->store.vms();
-    view->documents = this->store.documents();
-    view->ready = view->topology && view->vms;
-    view->may_hold_slots = view->ready;
-    view->successors = this->successors;
-    {
-      const std::lock_guard lock(this->mutex);
-      this->latest = view;
-    }
-    if (this->options.on_view) {
-      this->options.on_view(view);
-    }
-  }
-
-  ControlOptions options;
-  asio::io_context context{1};
-  asio::steady_timer timer;
-  PlatformClient platform;
-  ConfigStore store;
-  std::map<Incarnation, VmId> successors;
-  std::thread thread;
-  mutable std::mutex mutex;  // guards latest
-  ControlViewPtr latest = std::make_shared<ControlView>();
-};
-
 ControlDuty::ControlDuty(ControlOptions options)
     : state(std::make_unique<State>(std::move(options))) {}
 
@@ -78,7 +17,11 @@
 }
 
 absl::Status ControlDuty::Start() {
-  asio::post(this->state->context, [state = this->state.get()] { state->Tick(); });
+  const absl::Status bound = this->state->Bind();
+  if (!bound.ok()) {
+    return bound;
+  }
+  asio::post(this->state->context, [state = this->state.get()] { state->Begin(); });
   this->state->thread = std::thread([state = this->state.get()] {
     const auto guard = asio::make_work_guard(state->context);
     state->context.run();
@@ -99,15 +42,33 @@
 }
 
 TimePoint ControlDuty::hold_until() const {
-  return TimePoint::max();
+  return TimePoint(Duration(this->state->hold_until.load(std::memory_order_acquire)));
 }
 
-void ControlDuty::AnnounceLeaving() {}
+ControlCounters ControlDuty::counters() const {
+  ControlCounters result;
+  result.platform_calls = this->state->platform_calls;
+  result.datagrams_sent = this->state->datagrams_sent;
+  result.datagrams_received = this->state->datagrams_received;
+  result.datagram_bytes_sent = this->state->bytes_sent;
+  result.datagram_bytes_received = this->state->bytes_received;
+  result.documents_fetched = this->state->fetched;
+  result.documents_refused = this->state->refused;
+  result.document_conflicts = this->state->conflicts;
+  return result;
+}
+
+void ControlDuty::AnnounceLeaving() {
+  asio::post(this->state->context, [state = this->state.get()] {
+    state->Run([](Membership& member, TimePoint now, MembershipActions&) { member.Leave(now); });
+  });
+}
 
 void ControlDuty::AnnounceSuccessor(Incarnation incarnation, VmId vm) {
   asio::post(this->state->context, [state = this->state.get(), incarnation, vm = std::move(vm)] {
-    state->successors[incarnation] = vm;
-    state->Publish();
+    state->Run([&](Membership& member, TimePoint now, MembershipActions&) {
+      member.AddSuccessor(incarnation, vm, now);
+    });
   });
 }
 
--- /dev/null
+++ b/src/control/control_state.h
@@ -0,0 +1,89 @@
+#ifndef SRC_CONTROL_CONTROL_STATE_H_
+#define SRC_CONTROL_CONTROL_STATE_H_
+
+#include <array>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "ibishold/control.h"
+#include "ibishold/membership.h"
+#include "ibishold/net.h"
+#include "ibishold/platform.h"
+
+namespace ibishold {
+
+// Carries out the actions of Membership on sockets. All methods but the constructor, Bind and the
+// readers of atomics run on the control thread.
+struct ControlDuty::State {
+  explicit State(ControlOptions given);
+
+  absl::Status Bind();
+  void Begin();
+  // Runs one operation of Membership with the time and carries out what it asks for.
+  template <typename Operation>
+  void Run(Operation operation);
+
+  void Receive();
+  void Execute(const SendDatagram& action);
+  void Execute(const FetchDocument& action);
+  void Execute(const CallPlatform& action);
+  void Publish(TimePoint now);
+  void RaiseAlarms();
+  void ScheduleWake(TimePoint now);
+
+  ControlOptions options;
+  boost::asio::io_context context{1};
+  boost::asio::steady_timer timer;
+  boost::asio::ip::udp::socket socket;
+  boost::asio::ip::udp::endpoint sender;
+  std::array<char, 65536> buffer{};
+  PlatformClient platform;
+  Membership membership;
+  LinkOptions link_options;
+  std::thread thread;
+
+  std::map<std::uint64_t, std::shared_ptr<const std::string>> packed;  // by hash of the text
+  std::uint64_t alarmed_conflicts = 0;
+  std::uint64_t alarmed_refusals = 0;
+
+  mutable std::mutex mutex;  // guards latest
+  ControlViewPtr latest = std::make_shared<ControlView>();
+  std::atomic<Duration::rep> hold_until{TimePoint::min().time_since_epoch().count()};
+
+  std::atomic<std::uint64_t> platform_calls{0};
+  std::atomic<std::uint64_t> datagrams_sent{0};
+  std::atomic<std::uint64_t> datagrams_received{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+  std::atomic<std::uint64_t> fetched{0};
+  std::atomic<std::uint64_t> refused{0};
+  std::atomic<std::uint64_t> conflicts{0};
+};
+
+template <typename Operation>
+void ControlDuty::State::Run(Operation operation) {
+  const TimePoint now = BootClock::now();
+  MembershipActions actions;
+  operation(this->membership, now, actions);
+  this->hold_until.store(this->membership.HoldUntil().time_since_epoch().count(),
+                         std::memory_order_release);
+  if (this->membership.TakeChange(now)) {
+    this->Publish(now);
+  }
+  this->RaiseAlarms();
+  for (const MembershipAction& action : actions) {
+    std::visit([this](const auto& each) { this->Execute(each); }, action);
+  }
+  this->ScheduleWake(now);
+}
+
+}  // namespace ibishold
+
+#endif  // SRC_CONTROL_CONTROL_STATE_H_
--- a/src/control/document_frames.cc
+++ b/src/control/document_frames.cc
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Shorter texts fit one or two packets anyway.
-constexpr std::size_t kDeflateFrom = 1024;
 // The platform's limit for a value, with room.
 constexpr std::size_t kTextLimit = 4U << 20U;
 
@@ -34,11 +32,11 @@
   }
   out.setGeneration(found->digest.generation);
   out.setHash(found->digest.hash);
-  if (found->text.size() < kDeflateFrom) {
+  if (!found->packed) {
     out.setBody(Bytes(found->text));
     return true;
   }
-  out.setBody(Bytes(Deflate(found->text)));
+  out.setBody(Bytes(*found->packed));
   out.setDeflated(true);
   out.setTextBytes(static_cast<std::uint32_t>(found->text.size()));
   return true;
@@ -61,6 +59,7 @@
     return text.status();
   }
   document.text = *std::move(text);
+  document.packed = std::make_shared<const std::string>(bytes);
   return std::optional<Document>(std::move(document));
 }
 
--- /dev/null
+++ b/tests/control/test_platform.h
@@ -0,0 +1,144 @@
+#ifndef TESTS_CONTROL_TEST_PLATFORM_H_
+#define TESTS_CONTROL_TEST_PLATFORM_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+
+namespace ibishold {
+
+// The platform's protocol on one thread. A watch looks for a change every 10 ms.
+class TestPlatform {
+ public:
+  TestPlatform(const std::string& address, std::uint16_t port)
+      : acceptor(context, {boost::asio::ip::make_address(address), port}) {
+    this->Accept();
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+  ~TestPlatform() {
+    this->context.stop();
+    this->thread.join();
+  }
+
+  void Set(const std::string& key, std::uint64_t generation, std::string text) {
+    const std::lock_guard lock(this->mutex);
+    this->values[key] = {generation, std::move(text)};
+  }
+
+  std::atomic<bool> down{false};            // closes connections without an answer
+  std::atomic<bool> watches_silent{false};  // never answers a watch that has to wait
+  std::atomic<std::uint64_t> calls{0};
+
+ private:
+  struct Exchange : std::enable_shared_from_this<Exchange> {
+    Exchange(boost::asio::ip::tcp::socket socket, TestPlatform& platform)
+        : stream(std::move(socket)), timer(stream.get_executor()), platform(platform) {}
+
+    void Start() {
+      boost::beast::http::async_read(
+          this->stream, this->buffer, this->request,
+          [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
+            if (!error && !self->platform.down) {
+              ++self->platform.calls;
+              self->Parse();
+            }
+          });
+    }
+
+    void Parse() {
+      const std::string target(this->request.target());
+      const std::size_t question = target.find('?');
+      this->key = target.substr(9, question == std::string::npos ? question : question - 9);
+      std::int64_t wait_ms = 0;
+      if (question != std::string::npos) {
+        const std::size_t watch = target.find("watch=") + 6;
+        const std::size_t wait = target.find("wait_ms=") + 8;
+        this->conditional =
+            absl::SimpleAtoi(target.substr(watch, target.find('&') - watch), &this->generation);
+        this->conditional = absl::SimpleAtoi(target.substr(wait), &wait_ms) && this->conditional;
+      }
+      this->until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+      this->waits = wait_ms > 0;
+      this->Look();
+    }
+
+    void Look() {
+      const std::lock_guard lock(this->platform.mutex);
+      const auto found = this->platform.values.find(this->key);
+      if (found == this->platform.values.end()) {
+        this->Answer(boost::beast::http::status::not_found, 0, "");
+        return;
+      }
+      if (!this->conditional || found->second.first > this->generation) {
+        if (!(this->waits && this->platform.watches_silent)) {
+          this->Answer(boost::beast::http::status::ok, found->second.first, found->second.second);
+        }
+        return;
+      }
+      if (std::chrono::steady_clock::now() >= this->until && !this->platform.watches_silent) {
+        this->Answer(boost::beast::http::status::not_modified, found->second.first, "");
+        return;
+      }
+      this->timer.expires_after(std::chrono::milliseconds(10));
+      this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->platform.down) {
+          self->Look();
+        }
+      });
+    }
+
+    void Answer(boost::beast::http::status status, std::uint64_t at, const std::string& body) {
+      this->response.result(status);
+      this->response.version(11);
+      this->response.set("X-Generation", std::to_string(at));
+      this->response.body() = body;
+      this->response.prepare_payload();
+      boost::beast::http::async_write(
+          this->stream, this->response,
+          [self = this->shared_from_this()](boost::beast::error_code, std::size_t) {});
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::asio::steady_timer timer;
+    TestPlatform& platform;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> request;
+    boost::beast::http::response<boost::beast::http::string_body> response;
+    std::string key;
+    std::uint64_t generation = 0;
+    bool conditional = false;
+    bool waits = false;
+    std::chrono::steady_clock::time_point until;
+  };
+
+  void Accept() {
+    this->acceptor.async_accept(
+        [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+          if (!error) {
+            std::make_shared<Exchange>(std::move(socket), *this)->Start();
+          }
+          this->Accept();
+        });
+  }
+
+  boost::asio::io_context context{1};
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::mutex mutex;  // guards values
+  std::map<std::string, std::pair<std::uint64_t, std::string>> values;
+  std::thread thread;
+};
+
+}  // namespace ibishold
+
+#endif  // TESTS_CONTROL_TEST_PLATFORM_H_
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -37,6 +37,30 @@
 
 }  // namespace
 
+TEST_CASE("acknowledgements count from the sending of the heartbeat") {
+  // Guards against an old acknowledgement, found in the socket after a pause, that renews a hold.
+  const TimePoint start{std::chrono::hours(5)};
+  HoldClock hold(seconds(5));
+  CHECK(hold.HoldUntil() == TimePoint::max());
+  hold.SetMonitors({VmId("a"), VmId("b"), VmId("c")});
+  hold.Sent(1, start);
+  hold.Sent(2, start + seconds(1));
+  hold.Acknowledged(VmId("a"), 1);
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.Acknowledged(VmId("stranger"), 2);
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.Acknowledged(VmId("b"), 2);
+  CHECK(hold.HoldUntil() == start + seconds(5));
+  hold.Acknowledged(VmId("a"), 2);
+  hold.Acknowledged(VmId("a"), 1);
+  CHECK(hold.HoldUntil() == start + seconds(6));
+  // A changed list keeps what the remaining monitors acknowledged.
+  hold.SetMonitors({VmId("a"), VmId("d"), VmId("e"), VmId("f")});
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.SetMonitors({VmId("a"), VmId("d")});
+  CHECK(hold.HoldUntil() == start + seconds(6));
+}
+
 TEST_CASE("life of one VM in a fleet") {
   FakeFleet fleet = StartedFleet(3);
   const std::size_t total = fleet.nodes.size();
