--- a/include/ibishold/membership.h
+++ b/include/ibishold/membership.h
@@ -123,13 +123,16 @@
   Duration watch_slack = std::chrono::seconds(2);                  // 2 s, then the watch is silent
   Duration table_read_interval = std::chrono::milliseconds(2000);  // 2 s beside a watch, table
   Duration read_interval = std::chrono::milliseconds(4000);        // 4 s beside a watch, the others
-  Duration full_read_interval = std::chrono::seconds(600);         // 10 min, watchers' plain reads
-  Duration recheck_interval = std::chrono::seconds(30);            // 30 s, a value that was refused
-  Duration read_limit = std::chrono::milliseconds(2500);           // 2.5 s, then a read is silent
-  Duration minimum_poll = std::chrono::seconds(10);                // 10 s
-  double polls_per_second = 20;                                    // 20, of the whole fleet
-  Duration minimum_backoff = std::chrono::seconds(1);              // 1 s after a failed watch
-  Duration maximum_backoff = std::chrono::seconds(10);             // 10 s
+  // Watchers read the whole value this often, which shows another text of the same generation. The
+  // table is small and edited by hand; the others are large and would cost kilobytes a second.
+  Duration table_full_read_interval = std::chrono::seconds(60);  // 1 min
+  Duration full_read_interval = std::chrono::hours(1);           // 1 h
+  Duration recheck_interval = std::chrono::seconds(30);          // 30 s, a value that was refused
+  Duration read_limit = std::chrono::milliseconds(2500);         // 2.5 s, then a read is silent
+  Duration minimum_poll = std::chrono::seconds(10);              // 10 s
+  double polls_per_second = 20;                                  // 20, of the whole fleet
+  Duration minimum_backoff = std::chrono::seconds(1);            // 1 s after a failed watch
+  Duration maximum_backoff = std::chrono::seconds(10);           // 10 s
   // 1,100 VMs that call at this rate stay below the platform's 2,000 calls/s.
   double calls_per_second = 1.5;  // 1.5
   // VMs that started together and found no peer with documents ask at this rate together, by
@@ -375,6 +378,7 @@
   void WatchFailed(Key& key, TimePoint now);
   TimePoint NextRead(const Key& key, TimePoint now);
   Duration ReadInterval(const Key& key) const;
+  Duration FullReadInterval(const Key& key) const;
 
   const MembershipOptions& options;
   Random& random;
--- a/src/membership/platform_schedule.cc
+++ b/src/membership/platform_schedule.cc
@@ -45,7 +45,7 @@
       key.watch_at = now;
       key.watch_backoff = {};
       key.read_at = now + Fraction(this->ReadInterval(key), this->random.Unit());
-      key.full_read_at = now + Fraction(this->options.full_read_interval, this->random.Unit());
+      key.full_read_at = now + Fraction(this->FullReadInterval(key), this->random.Unit());
     }
   }
 }
@@ -101,7 +101,7 @@
     key.full_read = false;
     key.read_at = this->NextRead(key, now);
     if (key.full_read_at <= now) {
-      key.full_read_at = now + this->random.Jitter(this->options.full_read_interval, kJitter);
+      key.full_read_at = now + this->random.Jitter(this->FullReadInterval(key), kJitter);
     }
     std::uint64_t above = std::max(generation, key.served);
     if (key.served > generation && key.recheck_at <= now) {
@@ -178,4 +178,9 @@
   return key.name == kTableKey ? this->options.table_read_interval : this->options.read_interval;
 }
 
+Duration PlatformSchedule::FullReadInterval(const Key& key) const {
+  return key.name == kTableKey ? this->options.table_full_read_interval
+                               : this->options.full_read_interval;
+}
+
 }  // namespace ibishold
--- a/tests/membership/outage_test.cc
+++ b/tests/membership/outage_test.cc
@@ -88,7 +88,7 @@
     fleet.Publish("table", 9, second);
     fleet.Stop(0);
     fleet.Start(0);
-    fleet.RunFor(std::chrono::minutes(16));
+    fleet.RunFor(seconds(100));
     const std::uint64_t expected = std::min(StableHash(first), StableHash(second));
     for (const auto& node : fleet.nodes) {
       CHECK(node.membership->store().Find(kTableKey)->digest.hash == expected);
