--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -124,9 +124,11 @@
   ++this->platform_calls;
   const std::uint64_t call = action.call;
   auto handler = [this, call](absl::StatusOr<PlatformValue> value) {
-    absl::StatusOr<PlatformAnswer> answer = value.status();
-    if (value.ok()) {
-      answer = PlatformAnswer{value->generation, std::nullopt};
+    absl::StatusOr<PlatformAnswer> answer = PlatformAnswer();
+    if (!value.ok()) {
+      answer = value.status();
+    } else {
+      answer->generation = value->generation;
       if (value->changed) {
         answer->text = std::move(value->text);
       }
