--- a/src/control/document_fetch.cc
+++ b/src/control/document_fetch.cc
@@ -78,7 +78,7 @@
   this->timer.cancel();
   auto deliver = std::exchange(this->handler, nullptr);
   if (this->link) {
-    this->link->Close(absl::OkStatus());
+    this->link->Close(absl::CancelledError("the fetch has ended"));
   } else {
     boost::system::error_code ignored;
     this->socket.close(ignored);
--- a/tests/membership/outage_test.cc
+++ b/tests/membership/outage_test.cc
@@ -112,6 +112,32 @@
   }
 }
 
+TEST_CASE("a watch that goes silent ends by its own deadline") {
+  // Guards against a watcher that waits on a dead connection for ever.
+  MembershipOptions options;
+  Random random(1);
+  PlatformSchedule schedule(options, random);
+  const ConfigStore store;
+  TimePoint now{std::chrono::hours(5)};
+  schedule.SetRole(true, 14, now);
+  std::map<std::string, int> watches;
+  const TimePoint end = now + seconds(60);
+  while (now < end) {
+    MembershipActions actions;
+    schedule.Plan(store, now, actions);
+    for (const MembershipAction& action : actions) {
+      const auto& call = std::get<CallPlatform>(action);
+      watches[call.key] += call.wait > Duration{} ? 1 : 0;
+    }
+    now = std::max(schedule.NextWake(now), now + milliseconds(1));
+  }
+  for (const std::string_view key : {kVmsKey, kTableKey, kTopologyKey}) {
+    // One watch every 20 s, 2 s until it counts as silent, and the pause after a failure.
+    CHECK(watches[std::string(key)] >= 2);
+    CHECK(watches[std::string(key)] <= 4);
+  }
+}
+
 TEST_CASE("all of it at once, twice") {
   // Guards against faults that each pass alone and together leave the fleet split.
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
