--- a/include/ibishold/platform.h
+++ b/include/ibishold/platform.h
@@ -70,7 +70,7 @@
   std::uint64_t calls() const { return this->call_count; }  // since start
 
  private:
-  void Call(std::string target, Duration limit, PlatformHandler handler);
+  void Call(const std::string& target, Duration limit, PlatformHandler handler);
 
   boost::asio::io_context& context;
   PlatformClientOptions options;
--- a/src/adapters/platform/platform_client.cc
+++ b/src/adapters/platform/platform_client.cc
@@ -136,7 +136,7 @@
              wait + this->options.watch_slack, std::move(handler));
 }
 
-void PlatformClient::Call(std::string target, Duration limit, PlatformHandler handler) {
+void PlatformClient::Call(const std::string& target, Duration limit, PlatformHandler handler) {
   ++this->call_count;
   std::make_shared<PlatformCall>(this->context, this->options.body_limit, std::move(handler))
       ->Start(this->options, target, limit);
--- a/src/control/control_duty.cc
+++ b/src/control/control_duty.cc
@@ -17,7 +17,7 @@
 }
 
 absl::Status ControlDuty::Start() {
-  const absl::Status bound = this->state->Bind();
+  absl::Status bound = this->state->Bind();
   if (!bound.ok()) {
     return bound;
   }
