Repair a double release in the leaf stand-in

AddressSanitizer showed the socket of a connection released twice: GCC 12 destroys a temporary lambda with captures in a co_await expression twice. The lambda is a variable now.

--- a/standins/leaf_model.cc
+++ b/standins/leaf_model.cc
@@ -191,19 +191,21 @@
     this->open.insert(socket);
     this->records.max_connections =
         std::max<std::uint64_t>(this->records.max_connections, this->open.size());
-    asio::co_spawn(
-        this->context,
-        [this, socket, at = Clock::now()]() -> asio::awaitable<void> {
-          co_await ServeConnection(socket, [this, socket, at](const HttpRequest& request) {
-            return this->Handle(socket, at, request);
-          });
-          this->open.erase(socket);
-          this->silent.erase(socket);
-        },
-        asio::detached);
+    asio::co_spawn(this->context, this->Serve(socket, Clock::now()), asio::detached);
   }
 }
 
+asio::awaitable<void> LeafModel::Serve(std::shared_ptr<tcp::socket> socket,
+                                       Clock::time_point accepted) {
+  // A variable, because GCC 12 destroys a temporary with captures twice in a co_await expression.
+  const auto handler = [this, socket, accepted](const HttpRequest& request) {
+    return this->Handle(socket, accepted, request);
+  };
+  co_await ServeConnection(socket, handler);
+  this->open.erase(socket);
+  this->silent.erase(socket);
+}
+
 asio::awaitable<std::optional<HttpResponse>> LeafModel::Handle(std::shared_ptr<tcp::socket> socket,
                                                                Clock::time_point accepted,
                                                                HttpRequest request) {
@@ -221,7 +223,8 @@
   } else if (const std::string call = target.substr(prefix.size());
              call == "search" || call == "execute") {
     this->NoteReceived(HeaderOf(request, "X-Reason"));
-    response = co_await this->Run(this->ReadWork(request, call == "execute"));
+    Work work = this->ReadWork(request, call == "execute");
+    response = co_await this->Run(std::move(work));
   } else if (call == "load") {
     response = this->LoadReport();
   } else if (call.starts_with("requests/") && request.method() == http::verb::delete_) {
--- a/standins/leaf_model.h
+++ b/standins/leaf_model.h
@@ -110,6 +110,7 @@
   };
 
   asio::awaitable<void> Accept(std::shared_ptr<tcp::acceptor> acceptor);
+  asio::awaitable<void> Serve(std::shared_ptr<tcp::socket> socket, Clock::time_point accepted);
   asio::awaitable<std::optional<HttpResponse>> Run(Work work);
   std::optional<HttpResponse> Refuse(const Work& work);
   HttpResponse Finish(const Work& work);
