--- a/src/adapters/platform/platform_client.cc
+++ b/src/adapters/platform/platform_client.cc
@@ -74,6 +74,10 @@
   void Finish() {
     const auto& answer = this->parser.get();
     PlatformValue value;
+    const beast::string_view header = answer["X-Generation"];
+    if (!absl::SimpleAtoi(absl::string_view(header.data(), header.size()), &value.generation)) {
+      value.generation = 0;
+    }
     if (answer.result() == http::status::not_modified) {
       value.changed = false;
       this->Deliver(std::move(value));
@@ -88,10 +92,6 @@
           absl::StrCat("the platform answered with status ", answer.result_int())));
       return;
     }
-    const beast::string_view header = answer["X-Generation"];
-    if (!absl::SimpleAtoi(absl::string_view(header.data(), header.size()), &value.generation)) {
-      value.generation = 0;
-    }
     value.text = answer.body();
     this->Deliver(std::move(value));
   }
@@ -136,7 +136,7 @@
              wait + this->options.watch_slack, std::move(handler));
 }
 
-void PlatformClient::Call(std::string target, Duration limit, PlatformHandler handler) {
+void PlatformClient::Call(const std::string& target, Duration limit, PlatformHandler handler) {
   ++this->call_count;
   std::make_shared<PlatformCall>(this->context, this->options.body_limit, std::move(handler))
       ->Start(this->options, target, limit);
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -37,6 +37,61 @@
 
 }  // namespace
 
+TEST_CASE("acknowledgements count from the sending of the heartbeat") {
+  // Guards against an old acknowledgement, found in the socket after a pause, that renews a hold.
+  const TimePoint start{std::chrono::hours(5)};
+  HoldClock hold(seconds(5));
+  CHECK(hold.HoldUntil() == TimePoint::max());
+  hold.SetMonitors({VmId("a"), VmId("b"), VmId("c")});
+  hold.Sent(1, start);
+  hold.Sent(2, start + seconds(1));
+  hold.Acknowledged(VmId("a"), 1);
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.Acknowledged(VmId("stranger"), 2);
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.Acknowledged(VmId("b"), 2);
+  CHECK(hold.HoldUntil() == start + seconds(5));
+  hold.Acknowledged(VmId("a"), 2);
+  hold.Acknowledged(VmId("a"), 1);
+  CHECK(hold.HoldUntil() == start + seconds(6));
+  // A changed list keeps what the remaining monitors acknowledged.
+  hold.SetMonitors({VmId("a"), VmId("d"), VmId("e"), VmId("f")});
+  CHECK(hold.HoldUntil() == TimePoint::min());
+  hold.SetMonitors({VmId("a"), VmId("d")});
+  CHECK(hold.HoldUntil() == start + seconds(6));
+}
+
+TEST_CASE("a monitor that reported a VM silent does not acknowledge it meanwhile") {
+  // Guards against reports that make a VM lost at the moment at which the reporters hear it again.
+  VmList list;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    list.vms.push_back({VmId(name), DataCentre("bole"), "127.0.0.1", 3, VmState::kLive});
+  }
+  const TimePoint start{std::chrono::hours(5)};
+  const TimePoint silent = start + seconds(61);
+  SilenceDetector detector(VmId("a"), seconds(60), seconds(5));
+  detector.SetPublished(list, 5, start);
+  CHECK(detector.SilentVms(start + seconds(59)).empty());
+  REQUIRE(detector.SilentVms(silent).size() == 5);
+  CHECK(detector.MayAcknowledge(VmId("b"), 3, silent));
+  CHECK_FALSE(detector.Report(VmId("a"), {VmId("b"), 3}, silent));
+  detector.Heard(VmId("b"), silent + seconds(1));
+  CHECK_FALSE(detector.MayAcknowledge(VmId("b"), 3, silent + seconds(5)));
+  CHECK(detector.MayAcknowledge(VmId("b"), 3, silent + seconds(7)));
+  CHECK(detector.MayAcknowledge(VmId("b"), 4, silent + seconds(2)));
+
+  SUBCASE("more than half must agree, at the same time, about the same run") {
+    detector.Report(VmId("a"), {VmId("c"), 3}, silent);
+    CHECK_FALSE(detector.Report(VmId("b"), {VmId("c"), 3}, silent));
+    CHECK_FALSE(detector.Report(VmId("b"), {VmId("c"), 3}, silent));
+    CHECK_FALSE(detector.Report(VmId("d"), {VmId("c"), 2}, silent));
+    CHECK_FALSE(detector.Report(VmId("stranger"), {VmId("c"), 3}, silent));
+    CHECK_FALSE(detector.Report(VmId("e"), {VmId("c"), 3}, silent + seconds(6)));
+    detector.Report(VmId("a"), {VmId("c"), 3}, silent + seconds(6));
+    CHECK(detector.Report(VmId("f"), {VmId("c"), 3}, silent + seconds(7)));
+  }
+}
+
 TEST_CASE("life of one VM in a fleet") {
   FakeFleet fleet = StartedFleet(3);
   const std::size_t total = fleet.nodes.size();
