Announce taken-over tokens through the local broker; close a wake-up gap of the ring

The front reports the runs whose tokens it took over to the broker of its VM, which passes them to heartbeats. The ring cleared its flag by a plain store before it read the queue's index; a push in between could be left without a wake-up.

--- a/daemons/broker_main.cc
+++ b/daemons/broker_main.cc
@@ -37,6 +37,9 @@
   options.metrics = &metrics;
   options.hold_until = [&control] { return control.hold_until(); };
   options.view = [&control] { return control.view(); };
+  options.on_successor = [&control](Incarnation run, const VmId& vm) {
+    control.AnnounceSuccessor(run, vm);
+  };
   broker = std::make_unique<Broker>(options);
 
   std::atomic<bool> stopped{false};
--- a/include/ibishold/broker.h
+++ b/include/ibishold/broker.h
@@ -57,6 +57,10 @@
   // Called on both threads, must be safe to call from any thread.
   std::function<TimePoint()> hold_until;  // leaf work may start before this time; required
   std::function<ControlViewPtr()> view;   // latest view; required
+
+  // The front of this VM took over the tokens of a stopped run. Called on the link thread;
+  // optional.
+  std::function<void(Incarnation, const VmId&)> on_successor;
 };
 
 // ---- 3. Broker ----------------------------------------------------------------------------------
--- a/include/ibishold/ring.h
+++ b/include/ibishold/ring.h
@@ -50,7 +50,10 @@
 
  private:
   void Drain() {
-    this->scheduled.store(false, std::memory_order_release);
+    // A read-modify-write, so that either this exchange sees the items of a push that found `true`,
+    // or that push finds `false` and posts again. After a plain store the processor may read the
+    // queue's index before the store is visible, and the item would wait for the next push.
+    this->scheduled.exchange(false, std::memory_order_acq_rel);
     // Bounded by the items present at the start, so that a busy producer cannot hold the consumer.
     T item;
     for (std::size_t left = this->queue.read_available(); left > 0 && this->queue.pop(item);
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -18,7 +18,7 @@
     cancel        @7 :Cancel;         # front -> broker
     cancelResult  @8 :CancelResult;   # broker -> front
     getView       @9 :GetView;        # front -> local broker
-    view          @10 :View;          # broker -> front
+    view          @10 :View;          # broker -> front; front -> local broker: only successors
     execute       @11 :Execute;       # front -> front that is the home of the token
     executeResult @12 :ExecuteResult;
     tokenHandOver @13 :TokenHandOver; # front -> successor front
--- a/src/broker/link_duty.cc
+++ b/src/broker/link_duty.cc
@@ -55,6 +55,15 @@
     case wire::Frame::Body::GET_VIEW:
       this->OnGetView(link, correlation, body.getGetView());
       return;
+    case wire::Frame::Body::VIEW:
+      // From the front of this VM: only the runs whose tokens it took over.
+      for (const auto successor : body.getView().getSuccessors()) {
+        const VmId vm(std::string(successor.getVm().cStr()));
+        if (this->options.on_successor && vm == this->options.vm && link.peer_vm() == vm) {
+          this->options.on_successor(successor.getIncarnation(), vm);
+        }
+      }
+      return;
     case wire::Frame::Body::GET_DOCUMENT:
       this->OnGetDocument(link, correlation, body.getGetDocument());
       return;
--- a/src/front/request_duty.cc
+++ b/src/front/request_duty.cc
@@ -14,6 +14,7 @@
 // Batches use the core's numbers as correlations. Other frames set the highest bit, so that
 // removing an unsent batch never removes one of them.
 constexpr std::uint64_t kNotABatch = 1ULL << 63U;
+constexpr Duration kReportInterval = std::chrono::seconds(5);
 constexpr std::size_t kLatencyCache = 1024;  // tenants and classes looked up once
 
 }  // namespace
@@ -210,6 +211,7 @@
 
 void RequestDuty::Tick() {
   this->AskForView();
+  this->ReportInheritedRuns();
   this->ExportCounters();
   this->tick.expires_after(this->options.view_interval);
   this->tick.async_wait([this](boost::system::error_code error) {
@@ -233,6 +235,32 @@
   link->Send(message).IgnoreError();
 }
 
+// Tells the local broker, whose heartbeats tell all VMs. Repeated, since the broker may restart.
+void RequestDuty::ReportInheritedRuns() {
+  const TimePoint now = BootClock::now();
+  const std::vector<FrontRun> runs = this->core.InheritedRuns();
+  if (runs.empty() || (runs.size() == this->reported_runs && now < this->report_at)) {
+    return;
+  }
+  const FrameLinkPtr link =
+      this->brokers.Get(this->options.address, this->options.ports.broker_link);
+  if (!link) {
+    return;
+  }
+  this->reported_runs = runs.size();
+  this->report_at = now + kReportInterval;
+  capnp::MallocMessageBuilder message;
+  auto frame = message.initRoot<wire::Frame>();
+  frame.setCorrelation(kNotABatch | link->NextCorrelation());
+  auto successors = frame.getBody().initView().initSuccessors(static_cast<unsigned>(runs.size()));
+  for (unsigned i = 0; i < runs.size(); ++i) {
+    successors[i].setIncarnation(runs[i].incarnation);
+    successors[i].setHome(runs[i].vm.value);
+    successors[i].setVm(this->options.core.vm.value);
+  }
+  link->Send(message).IgnoreError();
+}
+
 void RequestDuty::WarmLinks() {
   if (this->addresses.size() > this->options.warm_links) {
     return;
--- a/src/front/request_duty.h
+++ b/src/front/request_duty.h
@@ -57,6 +57,7 @@
   void Tick();
   void AskForView();
   void WarmLinks();
+  void ReportInheritedRuns();
   void ExportCounters();
   FrameLinkPtr LinkTo(const VmId& vm);
 
@@ -76,6 +77,8 @@
   std::unordered_map<std::string, Latency*> latencies;     // by tenant and class
   FrontCounters exported;
   bool running_actions = false;
+  std::size_t reported_runs = 0;
+  TimePoint report_at{};
   std::atomic<bool> view_ready{false};
   std::atomic<std::size_t> progress{0};
   mutable std::mutex debug_mutex;
