Read the records of an executed request out of the leaf's answer

The broker passes the body of an execute through as the leaf sent it, so the answer held an object where callers expect the array.

--- a/tests/front/verdict_test.cc
+++ b/tests/front/verdict_test.cc
@@ -196,6 +196,23 @@
     CHECK(front.AnswerOf(ticket).verdict == Verdict::kRan);
     CHECK(front.CallCount() == 1);
   }
+  SUBCASE("the records are found in the leaf's whole answer, and a broken one has still run") {
+    const auto answer_with = [&](const std::string& body) {
+      front.on_call = [&front, body](const SendBatch& batch, const LeafCall& call) {
+        LeafReply reply = front.Good(batch, call);
+        reply.records = body;
+        front.ReplyIn(milliseconds(1), batch, reply);
+      };
+      const std::uint64_t ticket = front.Execute(front.NewToken(), "x");
+      front.Run(milliseconds(10));
+      return ticket;
+    };
+    const std::uint64_t whole = answer_with(R"({"records":[{"key":5}],"complete":true})");
+    CHECK(front.BodyOf(whole).at("records").as_array().size() == 1);
+    const std::uint64_t broken = answer_with("{\"records\":");
+    CHECK(front.AnswerOf(broken).status == 502);
+    CHECK(front.AnswerOf(broken).verdict == Verdict::kRan);
+  }
   SUBCASE("a caller that leaves does not stop it") {
     const std::uint64_t ticket = front.Execute(token, "x");
     front.core.OnAbandoned(ticket, front.now);
