--- a/tests/front/scripted_broker.h
+++ b/tests/front/scripted_broker.h
@@ -57,6 +57,7 @@
   std::atomic<int> requests{0};
   std::atomic<int> executes{0};
   std::atomic<int> cancels{0};
+  std::atomic<int> reported_runs{0};  // whose tokens the front says it took over
   std::atomic<std::uint64_t> index_version{7};
 
  private:
@@ -75,6 +76,10 @@
       link.Send(message).IgnoreError();
       return;
     }
+    if (body.isView()) {
+      this->reported_runs = static_cast<int>(body.getView().getSuccessors().size());
+      return;
+    }
     if (body.isCancel()) {
       for (const std::uint64_t attempt : body.getCancel().getAttempts()) {
         ++this->cancels;
