Name the home VM and the hand-overs of a token's successor

Two VMs that start in the same millisecond have equal incarnations, so a map by incarnation alone could send the tokens of one to the successor of the other. The report with the most hand-overs replaces earlier ones; before, the first report stayed for ever.

--- a/include/ibishold/config.h
+++ b/include/ibishold/config.h
@@ -13,6 +13,7 @@
 //   7. ControlView    what the other threads and the front see
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -250,6 +251,24 @@
 
 // ---- 7. ControlView -----------------------------------------------------------------------------
 
+// A run of a front that issued tokens.
+struct TokenHomeRun {
+  VmId vm;
+  Incarnation incarnation = 0;
+
+  friend bool operator==(const TokenHomeRun&, const TokenHomeRun&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14 on a defaulted <=>.
+  friend std::strong_ordering operator<=>(const TokenHomeRun&, const TokenHomeRun&) = default;
+};
+
+// The VM that took over the tokens of a stopped run.
+struct TokenSuccessor {
+  VmId vm;
+  std::uint32_t hops = 1;  // hand-overs of the run so far; the report with the most holds
+
+  friend bool operator==(const TokenSuccessor&, const TokenSuccessor&) = default;
+};
+
 // One consistent view of the documents and the peers. Immutable once shared.
 struct ControlView {
   std::shared_ptr<const Topology> topology;  // null until received
@@ -257,9 +276,9 @@
   std::shared_ptr<const VmList> vms;         // null until received; states include peers' reports
   std::set<VmId> lost_vms;                   // not reachable by their monitors
   bool ready = false;                        // topology and VM list are in force
-  bool may_hold_slots = false;             // false: this VM may be cut off and starts no leaf work
-  std::map<Incarnation, VmId> successors;  // stopped run of a front -> VM that took its tokens
-  std::vector<Document> documents;         // texts, for passing on
+  bool may_hold_slots = false;  // false: this VM may be cut off and starts no leaf work
+  std::map<TokenHomeRun, TokenSuccessor> successors;  // of stopped runs of fronts
+  std::vector<Document> documents;                    // texts, for passing on
 };
 
 using ControlViewPtr = std::shared_ptr<const ControlView>;
--- a/include/ibishold/control.h
+++ b/include/ibishold/control.h
@@ -84,8 +84,8 @@
   ControlCounters counters() const;
 
   void AnnounceLeaving();  // planned stop: tells the peers that this VM takes no new work
-  // Tells the peers that `vm` took over the tokens of a stopped front.
-  void AnnounceSuccessor(Incarnation incarnation, VmId vm);
+  // Tells the peers who took over the tokens of a stopped run of a front.
+  void AnnounceSuccessor(TokenHomeRun home, TokenSuccessor successor);
 
  private:
   struct State;
--- a/include/ibishold/membership.h
+++ b/include/ibishold/membership.h
@@ -63,7 +63,7 @@
   std::vector<Digest> digests;   // in an acknowledgement only if they differ from the heartbeat's
   std::vector<VmFact> facts;     // at most MembershipOptions::facts_per_heartbeat
   std::vector<SilentVm> silent;  // VMs that the sender monitors and has not heard for loss_limit
-  std::vector<std::pair<Incarnation, VmId>> successors;  // stopped run of a front -> new home
+  std::vector<std::pair<TokenHomeRun, TokenSuccessor>> successors;  // of stopped runs of fronts
 };
 
 // ---- 2. MembershipAction ------------------------------------------------------------------------
@@ -422,7 +422,7 @@
                   MembershipActions& actions);
 
   void Leave(TimePoint now);  // planned stop
-  void AddSuccessor(Incarnation incarnation, const VmId& vm, TimePoint now);
+  void AddSuccessor(const TokenHomeRun& home, const TokenSuccessor& successor, TimePoint now);
 
   // True once after each change of what View returns.
   bool TakeChange(TimePoint now);
@@ -468,9 +468,9 @@
   DocumentExchange exchange;
   PlatformSchedule schedule;
   std::map<std::string, Missing> missing;
-  std::map<Incarnation, VmId> successors;
-  std::deque<std::pair<Incarnation, std::uint32_t>> fresh_successors;  // with sends left
-  Incarnation successor_cursor = 0;
+  std::map<TokenHomeRun, TokenSuccessor> successors;
+  std::deque<std::pair<TokenHomeRun, std::uint32_t>> fresh_successors;  // with sends left
+  TokenHomeRun successor_cursor;
   std::uint64_t sequence = 0;
   TimePoint started_at{};
   TimePoint ticked_at{};
--- a/src/control/control_duty.cc
+++ b/src/control/control_duty.cc
@@ -64,12 +64,13 @@
   });
 }
 
-void ControlDuty::AnnounceSuccessor(Incarnation incarnation, VmId vm) {
-  asio::post(this->state->context, [state = this->state.get(), incarnation, vm = std::move(vm)] {
-    state->Run([&](Membership& member, TimePoint now, MembershipActions&) {
-      member.AddSuccessor(incarnation, vm, now);
-    });
-  });
+void ControlDuty::AnnounceSuccessor(TokenHomeRun home, TokenSuccessor successor) {
+  asio::post(this->state->context,
+             [state = this->state.get(), home = std::move(home), successor = std::move(successor)] {
+               state->Run([&](Membership& member, TimePoint now, MembershipActions&) {
+                 member.AddSuccessor(home, successor, now);
+               });
+             });
 }
 
 }  // namespace ibishold
--- a/src/control/datagrams.cc
+++ b/src/control/datagrams.cc
@@ -65,8 +65,11 @@
   if (!message.successors.empty()) {
     auto successors = out.initSuccessors(static_cast<unsigned>(message.successors.size()));
     for (unsigned i = 0; i < successors.size(); ++i) {
-      successors[i].setIncarnation(message.successors[i].first);
-      successors[i].setVm(message.successors[i].second.value);
+      const auto& [home, successor] = message.successors[i];
+      successors[i].setHome(home.vm.value);
+      successors[i].setIncarnation(home.incarnation);
+      successors[i].setVm(successor.vm.value);
+      successors[i].setHops(successor.hops);
     }
   }
 }
@@ -90,8 +93,9 @@
     }
   }
   for (const auto successor : in.getSuccessors()) {
-    message.successors.emplace_back(successor.getIncarnation(),
-                                    VmId(std::string(successor.getVm().cStr())));
+    message.successors.push_back(
+        {{VmId(std::string(successor.getHome().cStr())), successor.getIncarnation()},
+         {VmId(std::string(successor.getVm().cStr())), successor.getHops()}});
   }
   return message;
 }
--- a/src/control/view_frames.cc
+++ b/src/control/view_frames.cc
@@ -100,9 +100,11 @@
   }
   auto successors = out.initSuccessors(static_cast<unsigned>(view.successors.size()));
   index = 0;
-  for (const auto& [incarnation, vm] : view.successors) {
-    successors[index].setIncarnation(incarnation);
-    successors[index++].setVm(vm.value);
+  for (const auto& [home, successor] : view.successors) {
+    successors[index].setHome(home.vm.value);
+    successors[index].setIncarnation(home.incarnation);
+    successors[index].setVm(successor.vm.value);
+    successors[index++].setHops(successor.hops);
   }
   out.setReady(view.ready);
   out.setStale(!view.may_hold_slots);
@@ -151,7 +153,9 @@
   view->vms = WithStates(view->vms, leaving, view->lost_vms);
   view->successors.clear();
   for (const auto successor : frame.getSuccessors()) {
-    view->successors[successor.getIncarnation()] = VmId(std::string(successor.getVm().cStr()));
+    const TokenHomeRun home{VmId(std::string(successor.getHome().cStr())),
+                            successor.getIncarnation()};
+    view->successors[home] = {VmId(std::string(successor.getVm().cStr())), successor.getHops()};
   }
   view->ready = frame.getReady() && view->topology != nullptr && view->vms != nullptr;
   view->may_hold_slots = !frame.getStale();
--- a/src/front/execute_engine.cc
+++ b/src/front/execute_engine.cc
@@ -100,9 +100,9 @@
   Waiter& waiter = this->waiters.at(id);
   const Token& token = waiter.token;
   if (const ControlViewPtr& view = this->dispatcher.view()) {
-    const auto report = view->successors.find(token.home.incarnation);
+    const auto report = view->successors.find({token.home.vm, token.home.incarnation});
     if (report != view->successors.end()) {
-      this->home.LearnSuccessor(token.home, report->second, 1, now);
+      this->home.LearnSuccessor(token.home, report->second.vm, report->second.hops, now);
     }
   }
   const TokenDecision decision = this->home.Begin(token, FingerprintOf(waiter.request), id, now);
--- a/src/membership/heartbeats.cc
+++ b/src/membership/heartbeats.cc
@@ -49,8 +49,8 @@
       this->ApplyReport(message.vm, report, now);
     }
   }
-  for (const auto& [incarnation, vm] : message.successors) {
-    this->AddSuccessor(incarnation, vm, now);
+  for (const auto& [home, successor] : message.successors) {
+    this->AddSuccessor(home, successor, now);
   }
   this->exchange.Offered(address, message.digests, this->documents, now, actions);
   if (message.acknowledgement) {
@@ -184,13 +184,13 @@
   message.facts = this->facts.Take(this->options.facts_per_heartbeat);
   while (!this->fresh_successors.empty() &&
          message.successors.size() + 1 < kSuccessorsPerHeartbeat) {
-    auto [incarnation, left] = this->fresh_successors.front();
+    auto [home, left] = this->fresh_successors.front();
     this->fresh_successors.pop_front();
-    const auto found = this->successors.find(incarnation);
+    const auto found = this->successors.find(home);
     if (found != this->successors.end()) {
       message.successors.push_back(*found);
       if (left > 1) {
-        this->fresh_successors.emplace_back(incarnation, left - 1);
+        this->fresh_successors.emplace_back(home, left - 1);
       }
     }
     if (this->fresh_successors.size() < kSuccessorsPerHeartbeat) {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -106,15 +106,22 @@
   this->ApplyFact({this->options.vm, this->own_incarnation, VmState::kLeaving}, now);
 }
 
-void Membership::AddSuccessor(Incarnation incarnation, const VmId& vm, TimePoint now) {
-  if (!this->successors.emplace(incarnation, vm).second) {
+void Membership::AddSuccessor(const TokenHomeRun& home,
+                              const TokenSuccessor& successor,
+                              TimePoint now) {
+  TokenSuccessor& known = this->successors[home];
+  if (known.hops >= successor.hops && !known.vm.value.empty()) {
     return;
   }
+  known = successor;
   if (this->successors.size() > this->options.successor_limit) {
-    // Incarnations are start times, so the first one is the oldest.
-    this->successors.erase(this->successors.begin());
+    // Incarnations are start times, so the lowest one is the oldest.
+    this->successors.erase(std::min_element(
+        this->successors.begin(), this->successors.end(), [](const auto& left, const auto& right) {
+          return left.first.incarnation < right.first.incarnation;
+        }));
   }
-  this->fresh_successors.emplace_back(incarnation, 24);
+  this->fresh_successors.emplace_back(home, 24);
   this->changed = true;
   this->RequestPush(now);
 }
--- a/tests/control/control_frames_test.cc
+++ b/tests/control/control_frames_test.cc
@@ -43,7 +43,7 @@
 TEST_CASE("a front follows the view of its broker") {
   auto broker = std::make_shared<ControlView>(*ViewWith(4));
   broker->lost_vms.insert(VmId("vm-2"));
-  broker->successors[9] = VmId("vm-1");
+  broker->successors[{VmId("vm-3"), 9}] = {VmId("vm-1"), 2};
   auto states = std::make_shared<VmList>(*broker->vms);
   states->vms[0].state = VmState::kLeaving;
   states->vms[1].state = VmState::kLost;
@@ -53,7 +53,7 @@
   CHECK((*front)->ready);
   CHECK((*front)->may_hold_slots);
   CHECK((*front)->documents.size() == 2);
-  CHECK((*front)->successors.at(9) == VmId("vm-1"));
+  CHECK((*front)->successors == broker->successors);
   // Guards against slots that a front places over another list than its broker.
   CHECK((*front)->vms->vms[0].state == VmState::kLeaving);
   CHECK((*front)->vms->vms[1].state == VmState::kLost);
@@ -120,7 +120,7 @@
   message.digests = {{"table", 3, 0x1234567890abcdef}, {"vms", 9, 1}};
   message.facts = {{VmId("vm-2"), 5, VmState::kLost}};
   message.silent = {{VmId("vm-3"), 6}};
-  message.successors = {{4, VmId("vm-9")}};
+  message.successors = {{{VmId("vm-4"), 4}, {VmId("vm-9"), 3}}};
   const std::string bytes = EncodeDatagram(message);
   const auto read = DecodeDatagram(bytes);
   REQUIRE(read.ok());
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -303,19 +303,32 @@
   FakeFleet fleet = StartedFleet(9);
   fleet.StartAll();
   fleet.RunFor(seconds(10));
-  fleet.Call(0, [&](Membership& membership, MembershipActions&) {
-    membership.AddSuccessor(77, VmId("vm-5"), fleet.now);
-  });
+  const TokenHomeRun home{VmId("vm-0"), 77};
+  const TokenHomeRun same_time{VmId("vm-1"), 77};
+  const auto announce = [&](std::size_t index, const TokenHomeRun& run, const char* vm,
+                            std::uint32_t hops) {
+    fleet.Call(index, [&](Membership& membership, MembershipActions&) {
+      membership.AddSuccessor(run, {VmId(vm), hops}, fleet.now);
+    });
+  };
+  announce(0, home, "vm-5", 1);
+  announce(1, same_time, "vm-6", 1);
   fleet.RunFor(seconds(6));
-  for (const auto& node : fleet.nodes) {
-    const auto successors = node.membership->View(fleet.now).successors;
-    CHECK(successors.contains(77));
-  }
-  // A VM that starts later learns it too.
+  // The successor stops too; its report replaces the first one everywhere.
+  announce(5, home, "vm-7", 2);
+  announce(6, home, "vm-5", 1);
+  fleet.RunFor(seconds(6));
+  // A VM that starts later learns all of it.
   fleet.Stop(9);
   fleet.Start(9);
   fleet.RunFor(seconds(20));
-  CHECK(fleet.nodes[9].membership->View(fleet.now).successors.contains(77));
+  for (const auto& node : fleet.nodes) {
+    const auto successors = node.membership->View(fleet.now).successors;
+    REQUIRE(successors.size() == 2);
+    CHECK(successors.at(home) == TokenSuccessor{VmId("vm-7"), 2});
+    // Guards against runs that share a start time.
+    CHECK(successors.at(same_time) == TokenSuccessor{VmId("vm-6"), 1});
+  }
 }
 
 }  // namespace ibishold
