--- a/src/control/datagrams.cc
+++ b/src/control/datagrams.cc
@@ -29,8 +29,11 @@
       return VmState::kLive;
     case wire::VmState::LEAVING:
       return VmState::kLeaving;
-    default:
+    case wire::VmState::LOST:
       return VmState::kLost;
+    default:
+      // A state of a later version; nobody is lost because of it.
+      return VmState::kLive;
   }
 }
 
