Put the records of a non-repeatable request into the caller's answer

The broker passed the leaf's whole body on as records, so callers received an object where the protocol has an array. The demo found it: the request ran once, its answer was malformed.

--- a/src/broker/leaf_running.cc
+++ b/src/broker/leaf_running.cc
@@ -80,7 +80,9 @@
       if (!entry.work.repeatable()) {
         result.outcome = wire::Outcome::OK;
         result.complete = true;
-        result.records = reply.body;
+        // The caller's answer holds an array of records; another body than that is left out.
+        absl::StatusOr<LeafRecords> executed = ParseLeafRecords(reply.body);
+        result.records = executed.ok() ? std::move(executed->records) : std::string();
         break;
       }
       absl::StatusOr<LeafRecords> records = ParseLeafRecords(reply.body);
