--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -21,6 +21,7 @@
 #include "ibishold/config.h"
 #include "ibishold/core.h"
 #include "ibishold/idempotency.h"
+#include "ibishold/quarantine.h"
 #include "ibishold/request_policy.h"
 #include "ibishold/snapshot.h"
 #include "schema/ibishold.capnp.h"
@@ -40,6 +41,8 @@
   std::vector<std::uint64_t> index_versions;  // all that the leaf holds; empty if it said nothing
   Duration retry_after{};
   std::string message;
+  // Run of the leaf that died with the attempt in flight (LEAF_LOST only); 0: the leaf may live.
+  Incarnation dead_incarnation = 0;
 };
 
 // ---- 2. Actions ---------------------------------------------------------------------------------
@@ -49,6 +52,7 @@
   LeafId leaf;
   ShardId shard;
   bool hedge = false;
+  bool canary = false;  // runs alone, because the request may crash leaves
 };
 
 // One frame to one broker.
@@ -118,12 +122,14 @@
   std::uint32_t route_waits = 3;                             // waits for a reachable owner
   Duration route_wait = std::chrono::milliseconds(20);       // 20 ms each
   Duration broker_backoff = std::chrono::milliseconds(100);  // not chosen after a failed send
+  Duration decline_memory = std::chrono::milliseconds(250);  // after NOT_OWNER
   Duration attempt_memory = std::chrono::seconds(2);         // past the deadline
   std::size_t request_limit = 8192;                          // requests in progress; more: 503
   Duration cancel_margin = std::chrono::milliseconds(20);    // for the broker to confirm a removal
   Duration forward_wait = std::chrono::milliseconds(20);     // between tries to reach a home
   Duration forward_limit = std::chrono::milliseconds(1000);  // 1 s; then the home is unreachable
   TokenHomeOptions tokens;                                   // self is set from vm and incarnation
+  QuarantineOptions quarantine;
   SnapshotTrackerOptions snapshot;
   LatencyTrackerOptions latency;
   AdmissionOptions admission;
@@ -150,6 +156,8 @@
   std::uint64_t other_version = 0;  // answers that stated another snapshot
   std::uint64_t malformed = 0;
   std::uint64_t abandoned = 0;     // callers that left
+  std::uint64_t quarantined = 0;   // refused as suspected of crashing leaves
+  std::uint64_t canaries = 0;      // attempts that ran alone
   std::uint64_t executes = 0;      // non-repeatable requests sent to a leaf
   std::uint64_t replays = 0;       // answered from the token table
   std::uint64_t forwards = 0;      // passed to the home of their token
@@ -178,6 +186,7 @@
   void OnCancelResult(std::uint64_t attempt, Verdict verdict, TimePoint now);
   void OnNotSent(const SendBatch& batch, TimePoint now);  // none of its bytes was sent
   void OnLinkLost(const VmId& broker, TimePoint now);
+  void OnQuarantineReport(const QuarantineReport& report, TimePoint now);
   void OnTimer(TimePoint now);
 
   // Fronts among themselves. OnForwarded returns the number that the ForwardResult will name.
--- a/src/front/dispatcher.cc
+++ b/src/front/dispatcher.cc
@@ -26,6 +26,7 @@
     this->shares.SetTable(next->table, now);
   }
   std::erase_if(this->failed_until, [now](const auto& item) { return item.second <= now; });
+  std::erase_if(this->declined_until, [now](const auto& item) { return item.second <= now; });
 }
 
 LeafFilter Dispatcher::UsableLeaves(const ServiceName& service, TimePoint now) const {
@@ -39,6 +40,7 @@
                                                const std::vector<RouteKey>& avoid,
                                                TimePoint now) {
   std::vector<ReplicaRoute> routes;
+  std::vector<ReplicaRoute> declining;
   for (const Leaf* leaf : leaves) {
     const double weight = this->shares.WeightOf(service.name, leaf->data_centre, now);
     for (const SlotOwner& owner : this->OwnersOf(*leaf, service.slots)) {
@@ -46,19 +48,23 @@
         return key.first == leaf->id && key.second == owner.vm;
       });
       if (weight > 0 && !avoided && this->Reachable(owner.vm, now)) {
-        routes.push_back({.leaf = leaf, .owner = owner.vm, .slots = owner.slots, .weight = weight});
+        const ReplicaRoute route{
+            .leaf = leaf, .owner = owner.vm, .slots = owner.slots, .weight = weight};
+        (this->Declines(leaf->id, owner.vm, now) ? declining : routes).push_back(route);
       }
     }
   }
+  if (routes.empty()) {
+    routes = std::move(declining);
+  }
   const std::optional<std::size_t> chosen = this->chooser.Choose(routes, this->latency);
   return chosen ? std::optional(routes[*chosen]) : std::nullopt;
 }
 
 std::uint64_t Dispatcher::Start(const BatchHeader& header,
                                 std::size_t shard,
-                                const ShardId& shard_id,
+                                LeafCall call,
                                 const ReplicaRoute& route,
-                                bool hedge,
                                 TimePoint now) {
   SendBatch& batch = this->open_batches[route.owner];
   if (batch.batch == 0) {
@@ -66,7 +72,8 @@
     batch.batch = this->NextId();
   }
   const std::uint64_t id = this->NextId();
-  batch.calls.push_back({.attempt = id, .leaf = route.leaf->id, .shard = shard_id, .hedge = hedge});
+  call.attempt = id;
+  call.leaf = route.leaf->id;
   this->attempts[id] = {.id = id,
                         .batch = batch.batch,
                         .request = header.request,
@@ -75,7 +82,8 @@
                         .leaf = route.leaf->id,
                         .broker = route.owner,
                         .sent_at = now,
-                        .hedge = hedge};
+                        .hedge = call.hedge};
+  batch.calls.push_back(std::move(call));
   ++this->wanted_in_batch[batch.batch];
   this->chooser.Started(route.leaf->id, route.owner);
   this->timers.Add({.at = header.deadline + this->options.attempt_memory,
@@ -181,6 +189,15 @@
   return entry->second;
 }
 
+void Dispatcher::Declined(const LeafId& leaf, const VmId& broker, TimePoint now) {
+  this->declined_until[{leaf, broker}] = now + this->options.decline_memory;
+}
+
+bool Dispatcher::Declines(const LeafId& leaf, const VmId& broker, TimePoint now) const {
+  const auto found = this->declined_until.find({leaf, broker});
+  return found != this->declined_until.end() && found->second > now;
+}
+
 bool Dispatcher::Reachable(const VmId& broker, TimePoint now) const {
   const auto failed = this->failed_until.find(broker.value);
   return (failed == this->failed_until.end() || failed->second <= now) &&
