--- a/src/front/query_engine.cc
+++ b/src/front/query_engine.cc
@@ -113,98 +113,6 @@
   this->FinishIfDone(query, now);
 }
 
-void QueryEngine::Plan(Query& query, PinnedSnapshot pinned, TimePoint now) {
-  ++query.header.epoch;
-  query.header.snapshot = pinned.snapshot;
-  query.merger = std::make_unique<AnswerMerger>(std::move(pinned));
-  const std::size_t count = this->PinOf(query).service->shards.size();
-  query.shards.assign(count, {});
-  query.done_count = 0;
-  if (query.canary_shard) {
-    query.canary_shard = query.header.fingerprint % count;
-  }
-  for (std::size_t shard = 0; shard < count; ++shard) {
-    if (query.canary_shard.value_or(shard) != shard) {
-      continue;
-    }
-    query.shards[shard].alone = query.canary_shard.has_value();
-    if (!this->AskOrWait(query, shard, Extra::kFirst, now)) {
-      query.merger->SetReason(shard, "no_replica");
-      this->ShardDone(query, shard);
-    }
-  }
-  this->dispatcher.Flush(query.header);
-}
-
-bool QueryEngine::Ask(Query& query, std::size_t shard, Extra extra, TimePoint now) {
-  const Service& service = *this->PinOf(query).service;
-  ShardRun& run = query.shards[shard];
-  if (run.attempts >= this->options.attempts_per_shard) {
-    return false;
-  }
-  const QueryPlanner::Candidates candidates =
-      this->planner.CandidatesFor(service.shards[shard], query.header.snapshot,
-                                  this->dispatcher.UsableLeaves(service.name, now), run.tried, now);
-  std::optional<ReplicaRoute> route =
-      this->dispatcher.Choose(service, candidates.preferred(), run.avoid, now);
-  if (!route) {
-    route = this->dispatcher.Choose(service, candidates.possible, run.avoid, now);
-  }
-  if (!route) {
-    return false;
-  }
-  const std::uint64_t attempt = this->dispatcher.Start(
-      query.header, shard,
-      {.shard = service.shards[shard].id, .hedge = extra == Extra::kHedge, .canary = run.alone},
-      *route, now);
-  this->dispatcher.counters.canaries += run.alone ? 1 : 0;
-  run.tried.push_back(route->leaf->id);
-  run.out.push_back(attempt);
-  ++run.attempts;
-  if (extra == Extra::kFirst) {
-    this->hedges.Request();
-    this->retries.Request();
-  }
-  if (!run.hedged && !run.alone && service.shards[shard].leaves.size() > 1 &&
-      this->dispatcher.shares.RowOf(service.name, route->leaf->data_centre).hedge) {
-    const Duration delay =
-        this->dispatcher.latency.Quantile(route->leaf->id, this->options.hedge_quantile)
-            .value_or(this->options.default_hedge_delay);
-    this->dispatcher.timers.Add({.at = now + std::max(delay, this->options.minimum_hedge_delay),
-                                 .kind = TimerKind::kHedge,
-                                 .id = query.header.request,
-                                 .epoch = query.header.epoch,
-                                 .shard = shard,
-                                 .attempt = attempt});
-  }
-  return true;
-}
-
-bool QueryEngine::AskOrWait(Query& query, std::size_t shard, Extra extra, TimePoint now) {
-  if (this->Ask(query, shard, extra, now)) {
-    return true;
-  }
-  // Links may be opening or owners changing; nothing has run, so trying again is free of risk.
-  ShardRun& run = query.shards[shard];
-  const std::vector<LeafId> none;
-  const bool any =
-      !this->planner
-           .CandidatesFor(this->PinOf(query).service->shards[shard], query.header.snapshot,
-                          this->dispatcher.UsableLeaves(query.request.service, now), run.tried, now)
-           .empty();
-  if (!any || run.waits >= this->options.route_waits ||
-      now + this->options.route_wait >= query.answer_at) {
-    return false;
-  }
-  ++run.waits;
-  this->dispatcher.timers.Add({.at = now + this->options.route_wait,
-                               .kind = TimerKind::kRoute,
-                               .id = query.header.request,
-                               .epoch = query.header.epoch,
-                               .shard = shard});
-  return true;
-}
-
 void QueryEngine::OnReply(const Attempt& attempt, const LeafReply& reply, TimePoint now) {
   const auto found = this->queries.find(attempt.request);
   if (reply.outcome == wire::Outcome::OK) {
@@ -318,25 +226,6 @@
   this->FinishIfDone(query, now);
 }
 
-bool QueryEngine::TryReplan(Query& query, TimePoint now) {
-  if (query.replanned) {
-    return false;
-  }
-  std::optional<PinnedSnapshot> pinned = this->dispatcher.tracker.Select(
-      query.request.service, this->dispatcher.UsableLeaves(query.request.service, now), now);
-  if (!pinned || pinned->snapshot == query.header.snapshot) {
-    return false;
-  }
-  query.replanned = true;
-  // Attempts of the first plan may have run although their answers no longer count.
-  query.may_have_run |= std::any_of(query.shards.begin(), query.shards.end(),
-                                    [](const ShardRun& run) { return !run.out.empty(); });
-  ++this->dispatcher.counters.replans;
-  this->CancelOut(query);
-  this->Plan(query, *std::move(pinned), now);
-  return true;
-}
-
 void QueryEngine::OnGivenUp(const Attempt& attempt, Verdict verdict) {
   const auto found = this->queries.find(attempt.request);
   if (found == this->queries.end()) {
