--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -182,7 +182,7 @@
   void SetView(ControlViewPtr view, TimePoint now);
   void OnRequest(CallerRequest request, TimePoint now);
   void OnAbandoned(std::uint64_t ticket, TimePoint now);  // the caller left
-  void OnLeafReply(const VmId& broker, LeafReply reply, TimePoint now);
+  void OnLeafReply(const VmId& broker, const LeafReply& reply, TimePoint now);
   void OnCancelResult(std::uint64_t attempt, Verdict verdict, TimePoint now);
   void OnNotSent(const SendBatch& batch, TimePoint now);  // none of its bytes was sent
   void OnLinkLost(const VmId& broker, TimePoint now);
--- a/src/front/execute_engine.cc
+++ b/src/front/execute_engine.cc
@@ -68,22 +68,26 @@
   this->by_ticket[request.ticket] = id;
   waiter.token = *token;
   waiter.started = now;
-  const Duration left = request.deadline - now;
-  const auto share = Duration(static_cast<Duration::rep>(static_cast<double>(left.count()) *
-                                                         this->options.answer_margin_share));
-  waiter.answer_at = request.deadline - std::min(this->options.answer_margin, share);
+  waiter.answer_at = this->AnswerAt(request.deadline, now);
   waiter.forward_until = std::min(waiter.answer_at, now + this->options.forward_limit);
   waiter.request = std::move(request);
   this->Begin(id, now);
 }
 
+TimePoint ExecuteEngine::AnswerAt(TimePoint deadline, TimePoint now) const {
+  const auto left = static_cast<double>(std::max(Duration{}, deadline - now).count());
+  const auto share = Duration(static_cast<Duration::rep>(left * this->options.answer_margin_share));
+  return deadline - std::min(this->options.answer_margin, share);
+}
+
 std::uint64_t ExecuteEngine::StartForwarded(CallerRequest request, TimePoint now) {
   const std::uint64_t id = this->dispatcher.NextId();
   const absl::StatusOr<Token> token = ParseToken(request.token);
   Waiter& waiter = this->waiters[id];
   waiter.forwarded = true;
   waiter.started = now;
-  waiter.answer_at = request.deadline;
+  // The entry front waits until the deadline that it sent, so the home must answer before.
+  waiter.answer_at = this->AnswerAt(request.deadline, now);
   waiter.forward_until = std::min(waiter.answer_at, now + this->options.forward_limit);
   waiter.request = std::move(request);
   if (!token.ok()) {
--- a/src/front/execute_engine.h
+++ b/src/front/execute_engine.h
@@ -65,6 +65,7 @@
     bool finished = false;        // a result was given; a late one may still improve it
   };
 
+  TimePoint AnswerAt(TimePoint deadline, TimePoint now) const;
   void Begin(std::uint64_t waiter, TimePoint now);
   void Dispatch(std::uint64_t waiter, std::uint64_t dispatch, TimePoint now);
   // Sends the execution to its leaf; false if no owner is reachable.
--- a/src/front/front_core.cc
+++ b/src/front/front_core.cc
@@ -36,7 +36,7 @@
   this->executes->Abandon(ticket, now);
 }
 
-void FrontCore::OnLeafReply(const VmId& broker, LeafReply reply, TimePoint now) {
+void FrontCore::OnLeafReply(const VmId& broker, const LeafReply& reply, TimePoint now) {
   const Attempt* known = this->dispatcher->Find(reply.attempt);
   if (known == nullptr || known->broker != broker) {
     ++this->dispatcher->counters.late_replies;
--- a/src/front/front_process.cc
+++ b/src/front/front_process.cc
@@ -57,7 +57,7 @@
   }
 
   absl::Status Start() {
-    const absl::Status listening = this->server.Listen(
+    absl::Status listening = this->server.Listen(
         this->options.address, this->options.ports.front_http,
         [this](std::shared_ptr<CallerRequest> request) {
           return this->requests.Push(CallerEvent{.request = std::move(request)});
@@ -66,7 +66,7 @@
     if (!listening.ok()) {
       return listening;
     }
-    const absl::Status linked = this->duty.Listen();
+    absl::Status linked = this->duty.Listen();
     if (!linked.ok()) {
       return linked;
     }
--- a/tests/front/verdict_test.cc
+++ b/tests/front/verdict_test.cc
@@ -258,6 +258,16 @@
     CHECK(home.CallCount() == 1);
     CHECK(entry.CallCount() == 0);
   }
+  SUBCASE("a removal that is confirmed at the home reaches the caller elsewhere in time") {
+    // Guards against a not_run verdict that is lost between two fronts.
+    home.on_call = Silent;
+    ConfirmCancels(home, Verdict::kNotRun);
+    const std::uint64_t ticket = entry.Execute(token, "x", milliseconds(200));
+    for (int i = 0; i < 200; ++i) {
+      run(milliseconds(1));
+    }
+    CHECK(entry.AnswerOf(ticket).verdict == Verdict::kNotRun);
+  }
   SUBCASE("an unreachable home may have run, soon and never elsewhere") {
     entry.on_forward = [&](const ForwardExecute& forward) {
       entry.core.OnForwardNotSent(forward.forward, entry.now);
