--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -1,8 +1,9 @@
 /*
  * One slot of a leaf: its old holder H, the new owner N, and H's monitors.
  *
- * Stands for: HoldClock and SilenceDetector (include/ibishold/membership.h, src/membership/), the
- * takeover rules of design 5.3 (SlotHolder), and the check before each send in the broker.
+ * Stands for: HoldClock and SilenceDetector (include/ibishold/membership.h, src/membership/),
+ * SlotHolder (include/ibishold/ownership.h, src/ownership/), and the check before each send in the
+ * broker.
  *
  * Time, in steps of the clock: a hold lasts HOLD from the sending of an acknowledged heartbeat
  * (5 s), a leaf request occupies its slot for at most BUSY (3 s), and the takeover wait is their
