Announce a token successor with the home VM and an outranking hand-over count

A run handed over twice kept hop count 0, so that the first successor's report stayed in force; the second one now counts one more than the report it knows.

--- a/daemons/broker_main.cc
+++ b/daemons/broker_main.cc
@@ -37,8 +37,13 @@
   options.metrics = &metrics;
   options.hold_until = [&control] { return control.hold_until(); };
   options.view = [&control] { return control.view(); };
-  options.on_successor = [&control](Incarnation run, const VmId& vm) {
-    control.AnnounceSuccessor(run, vm);
+  options.on_successor = [&control, vm = settings.vm](const TokenHomeRun& home) {
+    const ControlViewPtr view = control.view();
+    const auto known = view->successors.find(home);
+    // A run that was handed over again must outrank the report of its former successor.
+    const bool here = known != view->successors.end() && known->second.vm == vm;
+    const std::uint32_t hops = known == view->successors.end() ? 1 : known->second.hops + !here;
+    control.AnnounceSuccessor(home, {.vm = vm, .hops = hops});
   };
   broker = std::make_unique<Broker>(options);
 
--- a/include/ibishold/broker.h
+++ b/include/ibishold/broker.h
@@ -60,7 +60,7 @@
 
   // The front of this VM took over the tokens of a stopped run. Called on the link thread;
   // optional.
-  std::function<void(Incarnation, const VmId&)> on_successor;
+  std::function<void(const TokenHomeRun&)> on_successor;
 };
 
 // ---- 3. Broker ----------------------------------------------------------------------------------
--- a/src/broker/link_duty.cc
+++ b/src/broker/link_duty.cc
@@ -61,7 +61,8 @@
       for (const auto successor : body.getView().getSuccessors()) {
         const VmId vm(std::string(successor.getVm().cStr()));
         if (this->options.on_successor && vm == this->options.vm && link.peer_vm() == vm) {
-          this->options.on_successor(successor.getIncarnation(), vm);
+          this->options.on_successor(
+              {VmId(std::string(successor.getHome().cStr())), successor.getIncarnation()});
         }
       }
       return;
