--- a/include/ibishold/ownership.h
+++ b/include/ibishold/ownership.h
@@ -112,8 +112,9 @@
   // before the placement that it belongs to.
   void OnRelease(const LeafId& leaf, std::uint32_t slots, TimePoint now);
 
-  // To be called before each Usable, at least every 100 ms: `hold_until` is the end of the right to hold as known now.
-  // After a lapse nothing may be used until the right was renewed and the wait is over.
+  // To be called before each Usable, at least every 100 ms: `hold_until` is the end of the right to
+  // hold as known now. After a lapse nothing may be used until the right was renewed and the wait
+  // is over.
   void CheckHold(TimePoint hold_until, TimePoint now);
 
   // Slots that may be used now; 0 while the right to hold has lapsed.
--- a/src/broker/broker.cc
+++ b/src/broker/broker.cc
@@ -54,7 +54,7 @@
 }
 
 absl::Status Broker::Start() {
-  const absl::Status listening = this->state->link_duty.Listen();
+  absl::Status listening = this->state->link_duty.Listen();
   if (!listening.ok()) {
     return listening;
   }
--- a/src/broker/leaf_duty.cc
+++ b/src/broker/leaf_duty.cc
@@ -222,9 +222,14 @@
 }
 
 void LeafDuty::Emit(ToLink message) {
-  // The order of messages is kept, so nothing overtakes the backlog.
-  if (!this->backlog.empty() || !this->push(std::move(message))) {
-    this->backlog.push_back(std::move(message));
+  this->backlog.push_back(std::move(message));
+  this->FlushBacklog();
+}
+
+// In order; what the link thread has no room for stays for the next tick.
+void LeafDuty::FlushBacklog() {
+  while (!this->backlog.empty() && this->push(std::move(this->backlog.front()))) {
+    this->backlog.pop_front();
   }
 }
 
@@ -239,9 +244,7 @@
 }
 
 void LeafDuty::Tick() {
-  while (!this->backlog.empty() && this->push(std::move(this->backlog.front()))) {
-    this->backlog.pop_front();
-  }
+  this->FlushBacklog();
   if (std::exchange(this->suspects_changed, false)) {
     const TimePoint now = BootClock::now();
     for (const QuarantineReport& report : this->quarantine.Export(now)) {
--- a/src/broker/leaf_duty.h
+++ b/src/broker/leaf_duty.h
@@ -60,6 +60,7 @@
   void PerformAction(Entry& entry, LeafAction& action);
   void Open(Entry& entry, std::uint64_t id);
   void Emit(ToLink message);
+  void FlushBacklog();
   std::uint32_t UsableSlots(const Entry& entry, TimePoint now);
   void OnWork(LeafWork work);
   void OnCancel(const CancelWork& cancel);
