--- a/src/broker/leaf_running.cc
+++ b/src/broker/leaf_running.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -77,16 +78,9 @@
       this->drain.Completed(now);
       this->times.Record(result.service_time);
       this->warm_up.Succeeded(entry.stage);
-      if (!entry.work.repeatable()) {
-        result.outcome = wire::Outcome::OK;
-        result.complete = true;
-        // The caller's answer holds an array of records; another body than that is left out.
-        absl::StatusOr<LeafRecords> executed = ParseLeafRecords(reply.body);
-        result.records = executed.ok() ? std::move(executed->records) : std::string();
-        break;
-      }
       absl::StatusOr<LeafRecords> records = ParseLeafRecords(reply.body);
       if (!records.ok()) {
+        // Outcome "failed"; the verdict stays: the leaf has run it.
         result.message = std::string(records.status().message());
         break;
       }
@@ -139,6 +133,7 @@
   LeafResult result;
   result.outcome = wire::Outcome::LEAF_LOST;
   result.message = message;
+  result.leaf_incarnation = entry.incarnation;
   result.queue_time = entry.sent_at - entry.work.received;
   result.service_time = now - entry.sent_at;
   this->Answer(entry.work, std::move(result));
@@ -150,10 +145,13 @@
   for (auto& [call, entry] : this->running) {
     // A cancelled attempt may have crashed the leaf as well as one that is waited for.
     if (!std::exchange(entry.reported, true)) {
-      report.fingerprints.push_back(entry.work.fingerprint);
+      report.crash.incarnation = std::max(report.crash.incarnation, entry.incarnation);
+      report.crash.in_flight.push_back(
+          {.fingerprint = entry.work.fingerprint, .alone = entry.work.canary});
     }
   }
-  if (!report.fingerprints.empty()) {
+  if (!report.crash.in_flight.empty()) {
+    report.crash.leaf = this->options.leaf;
     this->actions.emplace_back(std::move(report));
   }
 }
--- a/src/front/execute_dispatch.cc
+++ b/src/front/execute_dispatch.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <boost/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -6,6 +8,8 @@
 
 namespace ibishold {
 
+namespace json = boost::json;
+
 void ExecuteEngine::Dispatch(std::uint64_t waiter_id, std::uint64_t dispatch, TimePoint now) {
   const Waiter& waiter = this->waiters.at(waiter_id);
   const CallerRequest& request = waiter.request;
@@ -103,8 +107,7 @@
          .status = 200,
          .body = absl::StrCat("{\"snapshot\":{\"index_version\":", reply.stated.index_version,
                               ",\"partition_map_version\":", reply.stated.partition_map_version,
-                              "},\"verdict\":\"ran\",\"records\":",
-                              reply.records.empty() ? "[]" : reply.records, "}")},
+                              "},\"verdict\":\"ran\",\"records\":", reply.records, "}")},
         now);
     return;
   }
