--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -106,7 +106,7 @@
         "latency": report["latency"],
         "coverage_mean": report["coverage_mean"], "not_full_reasons": report["not_full_reasons"],
         "coverage_misstated": report["coverage_misstated"],
-        "extra_load_ratio": round(started / useful - 1, 4) if useful else None,
+        "extra_load_ratio": round(started / useful, 4) if useful else None,
         "upstream_received": difference("received"), "upstream_started": started, "useful_work": useful,
         "upstream_shed": difference("shed"), "cold_overloads": difference("cold_overload"),
         "leaf_crashes": sum_of(after, "crashes") - before_crashes,
