--- a/daemons/front_main.cc
+++ b/daemons/front_main.cc
@@ -35,6 +35,7 @@
     return kExitUsage;
   }
   if (command.check_only) {
+    std::cout << "settings are valid\n";
     return kExitOk;
   }
   ConfigureLogging(settings->log_level, settings->vm, "front");
--- a/src/config/json_reader.cc
+++ b/src/config/json_reader.cc
@@ -47,6 +47,15 @@
   return this->Integer(key, 0, 0, UINT64_MAX);
 }
 
+Duration JsonReader::Milliseconds(std::string_view key,
+                                  Duration default_value,
+                                  std::uint64_t low,
+                                  std::uint64_t high) {
+  const auto value = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(default_value).count());
+  return std::chrono::milliseconds(this->Integer(key, value, low, high));
+}
+
 double JsonReader::Number(std::string_view key, double default_value, double low, double high) {
   const json::value* value = this->Take(key);
   if (value == nullptr) {
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "ibishold/core.h"
 
 namespace ibishold {
 
@@ -22,6 +23,11 @@
                         std::uint64_t low,
                         std::uint64_t high);
   std::uint64_t RequiredInteger(std::string_view key);
+  // Duration given as a whole number of milliseconds.
+  Duration Milliseconds(std::string_view key,
+                        Duration default_value,
+                        std::uint64_t low,
+                        std::uint64_t high);
   double Number(std::string_view key, double default_value, double low, double high);
   bool Boolean(std::string_view key, bool default_value);
   std::string Text(std::string_view key);                                    // required, not empty
