--- a/src/broker/leaf_dispatcher.h
+++ b/src/broker/leaf_dispatcher.h
@@ -80,7 +80,7 @@
   Duration fresh_limit = std::chrono::seconds(1);              // 1 s, for executes
   Duration minimum_backoff = std::chrono::milliseconds(50);    // 50 ms, doubles per failure
   Duration maximum_backoff = std::chrono::seconds(2);          // 2 s
-  Duration draining_recheck = std::chrono::seconds(3);         // 3 s
+  Duration draining_recheck = std::chrono::seconds(10);        // 10 s
   std::size_t finished_limit = 1024;                           // verdicts kept for cancels
   std::uint64_t seed = 1;                                      // of the retry jitter
 };
