--- a/tests/net/frame_link_test.cc
+++ b/tests/net/frame_link_test.cc
@@ -86,6 +86,14 @@
       // Guards against a refusal that says not_run for a frame that was sent.
       CHECK(count < 500);
     }
+    SUBCASE("a frame in the middle of its write cannot be removed") {
+      pair.context.run_for(std::chrono::milliseconds(50));
+      REQUIRE(SendDocument(*pair.link, 3, 3000000).ok());
+      // The peer does not read, so part of the frame has left and the rest waits.
+      CHECK_FALSE(pair.link->RemoveUnsent(3));
+      pair.context.run_for(std::chrono::milliseconds(20));
+      CHECK_FALSE(pair.link->RemoveUnsent(3));
+    }
     SUBCASE("a frame that was written cannot be removed any more") {
       pair.context.run_for(std::chrono::milliseconds(50));
       CHECK_FALSE(pair.link->RemoveUnsent(1));
