Keep leaves served while slots move between VMs

Cause: a planned stop of five VMs at once left leaves without a usable owner for about a second. A stopping broker refused work at once, before other VMs knew its successors. 2. A VM gave slots up as soon as it saw a returning VM in the list, before that VM was acknowledged by its monitors (0.3 to 0.5 s without a usable slot). 3. The role of primary moved with the list, not with the slots: owners that were left both took themselves for the secondary of a cold leaf and refused, or two could have taken themselves for its primary. 4. The front knew only the newest placement. 5. A non-repeatable request was passed on once only, even by brokers that had neither queued nor sent it. Change: a stopping broker serves for 2 s after it announced that it leaves; lost slots are used for 1.5 s more; SlotRelease also hands over the role of primary, so that one VM at a time acts as such; fronts fall back to former owners for 8 s; refusals that name no slot holder or no route do not count as a pass.

--- a/daemons/broker_main.cc
+++ b/daemons/broker_main.cc
@@ -87,8 +87,9 @@
       [&] {
         LOG4CXX_INFO(logger, "planned stop begins");
         stopping = true;
-        control.AnnounceLeaving();
+        // In this order: a view in which this VM leaves must not make it give up its slots at once.
         broker->BeginStop([&stopped] { stopped = true; });
+        control.AnnounceLeaving();
       },
       stopped);
   control.Stop();
--- a/include/ibishold/broker.h
+++ b/include/ibishold/broker.h
@@ -78,8 +78,10 @@
   // Takes a new view into use. Called from one thread only, which must not block.
   void OnView(ControlViewPtr view);
 
-  // Planned stop: hands slots over, refuses new work, finishes work in flight. `on_stopped` runs
-  // once on a thread of the broker when nothing is in flight or the limit has passed.
+  // Planned stop: uses its slots for 2 s more, while the other VMs learn that this one leaves, hands
+  // them over, refuses new work and finishes work in flight. Announce the leaving only after this
+  // call. `on_stopped` runs once on a thread of the broker when nothing is in flight or the limit
+  // has passed.
   void BeginStop(std::function<void()> on_stopped);
 
   void Stop();  // ends both threads at once; idempotent
--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -126,6 +126,7 @@
   Duration route_wait = std::chrono::milliseconds(20);       // 20 ms each
   Duration broker_backoff = std::chrono::milliseconds(100);  // not chosen after a failed send
   Duration decline_memory = std::chrono::milliseconds(250);  // after NOT_OWNER
+  Duration former_owner_memory = std::chrono::seconds(8);    // after a change of placement; 8 s
   Duration attempt_memory = std::chrono::seconds(2);         // past the deadline
   std::size_t request_limit = 8192;                          // requests in progress; more: 503
   Duration cancel_margin = std::chrono::milliseconds(20);    // for the broker to confirm a removal
--- a/include/ibishold/ownership.h
+++ b/include/ibishold/ownership.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -83,6 +84,9 @@
   Duration pause_limit = std::chrono::seconds(1);
   // After a longer lapse other VMs may have taken over without the platform; 30 s.
   Duration long_lapse = std::chrono::seconds(30);
+  // Slots lost by a new placement are used for this time more, until the other VMs know their new
+  // owner and it may hold slots. Must leave 3 s of the takeover wait for requests in flight; 0 s.
+  Duration give_up_delay{};
 };
 
 // Slots that this VM gives to another one.
@@ -100,8 +104,8 @@
  public:
   explicit SlotHolder(SlotHolderOptions options) : options(std::move(options)) {}
 
-  // A new placement. Slots that were lost are not used from here on; slots that were gained are
-  // used after the takeover wait. Only in the first placement of a list that never changed
+  // A new placement. Slots that were lost are not used after the give-up delay; slots that were
+  // gained are used after the takeover wait. Only in the first placement of a list that never changed
   // (generation 1) there is no wait; a process that was restarted under such a list may overlap
   // with what its predecessor left running.
   void OnPlan(std::shared_ptr<const SlotPlan> new_plan,
@@ -112,6 +116,9 @@
   // before the placement that it belongs to.
   void OnRelease(const LeafId& leaf, std::uint32_t slots, TimePoint now);
 
+  // The former primary stopped acting as such. It may arrive before the placement as well.
+  void OnPrimaryRelease(const LeafId& leaf, TimePoint now);
+
   // To be called before each Usable, at least every 100 ms: `hold_until` is the end of the right to
   // hold as known now. After a lapse nothing may be used until the right was renewed and the wait
   // is over.
@@ -120,10 +127,23 @@
   // Slots that may be used now; 0 while the right to hold has lapsed.
   std::uint32_t Usable(const LeafId& leaf, TimePoint now) const;
 
-  // Slots to be given to other VMs, once, when no more calls than `in_flight` run at the leaf.
+  // Slots to be given to other VMs, once, when no more calls than `in_flight` run at the leaf, as of
+  // the last CheckHold.
   std::vector<SlotHandOver> TakeHandOvers(const LeafId& leaf, std::uint32_t in_flight);
 
-  // Planned stop: all slots are handed over as in a placement without this VM.
+  // Slots that this VM has, whether or not the right to hold has lapsed.
+  std::uint32_t Held(const LeafId& leaf, TimePoint now) const;
+
+  // The primary of a leaf decides how many calls a cold leaf gets, so only one VM may act as primary
+  // at a time. A VM that becomes primary by a placement acts as such once the former primary has
+  // said that it stopped, or after the takeover wait.
+  bool ActsAsPrimary(const LeafId& leaf, TimePoint now) const;
+
+  // The VM to be told, once, that this VM no longer acts as primary; to be called only while this
+  // VM has no call at a cold leaf.
+  std::optional<VmId> TakePrimaryHandOver(const LeafId& leaf);
+
+  // Planned stop: all slots are handed over at once as in a placement without this VM.
   void Leave(std::shared_ptr<const SlotPlan> plan_without, std::uint64_t generation, TimePoint now);
 
   const SlotPlan& plan() const { return *this->current; }
@@ -134,21 +154,36 @@
     std::uint32_t held = 0;     // usable now
     std::uint32_t pending = 0;  // usable from pending_until on
     TimePoint pending_until{};
-    std::map<VmId, std::uint32_t> owed;  // lost, not yet released
-
+    std::uint32_t lost = 0;  // of those held: not usable from give_at on
+    TimePoint give_at{};
+    std::map<VmId, std::uint32_t> promised;  // of those lost: to whom, from give_at on
+    std::map<VmId, std::uint32_t> owed;      // given up, not yet released
+    bool primary = false;                    // acts as primary
+    bool primary_next = false;               // acts as primary from primary_from on
+    TimePoint primary_from{};
+    std::optional<VmId> new_primary;   // acts no longer as primary from give_at on
+    std::optional<VmId> primary_owed;  // the new primary, to be told
+
+    std::uint32_t kept() const { return this->held - this->lost; }
+    bool giving() const { return this->lost > 0 || this->new_primary.has_value(); }
     void Settle(TimePoint now);
+    void GiveUp();
     void Grow(std::uint32_t gained, TimePoint until);
-    std::uint32_t Shrink(std::uint32_t lost);  // how many of them were held
+    std::uint32_t Shrink(std::uint32_t count);  // how many of them were held
   };
   struct EarlyRelease {
     std::uint32_t slots = 0;
+    bool primary = false;
     TimePoint at{};
   };
 
-  void Owe(Part& part,
-           std::uint32_t lost,
-           const std::vector<SlotOwner>& before,
-           const std::vector<SlotOwner>& after) const;
+  void SetPrimary(Part& part, const std::vector<SlotOwner>& after, TimePoint now, Duration wait);
+  void ApplyEarly(const LeafId& leaf, const Part& part, TimePoint now);
+  EarlyRelease& EarlyFor(const LeafId& leaf, TimePoint now);
+  void Promise(Part& part,
+               std::uint32_t lost,
+               const std::vector<SlotOwner>& before,
+               const std::vector<SlotOwner>& after) const;
 
   SlotHolderOptions options;
   std::shared_ptr<const SlotPlan> current = std::make_shared<const SlotPlan>();
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -176,8 +176,9 @@
 }
 
 struct SlotRelease {
-  leaf  @0 :Text;
-  slots @1 :UInt32;
+  leaf    @0 :Text;
+  slots   @1 :UInt32;
+  primary @2 :Bool;    # the sender no longer acts as primary of the leaf
 }
 
 struct LeafState {
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -2455,6 +2455,8 @@
 
   inline  ::uint32_t getSlots() const;
 
+  inline bool getPrimary() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2493,6 +2495,9 @@
   inline  ::uint32_t getSlots();
   inline void setSlots( ::uint32_t value);
 
+  inline bool getPrimary();
+  inline void setPrimary(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6043,6 +6048,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotRelease::Reader::getPrimary() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRelease::Builder::getPrimary() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void SlotRelease::Builder::setPrimary(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeafState::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/broker/broker.cc
+++ b/src/broker/broker.cc
@@ -94,9 +94,11 @@
 
 void Broker::BeginStop(std::function<void()> on_stopped) {
   State* const broker = this->state.get();
-  asio::post(broker->link_context, [broker] { broker->link_duty.BeginStop(); });
-  asio::post(broker->leaf_context, [broker, on_stopped = std::move(on_stopped)] {
-    broker->leaf_duty.BeginStop(on_stopped);
+  const auto on_left = [broker] {
+    asio::post(broker->link_context, [broker] { broker->link_duty.BeginStop(); });
+  };
+  asio::post(broker->leaf_context, [broker, on_left, on_stopped = std::move(on_stopped)] {
+    broker->leaf_duty.BeginStop(on_left, on_stopped);
   });
 }
 
--- a/src/broker/leaf_duty.cc
+++ b/src/broker/leaf_duty.cc
@@ -11,8 +11,12 @@
 
 // Deadlines and expiries are kept to this accuracy.
 constexpr Duration kTick = std::chrono::milliseconds(10);
-// At a planned stop: for waiting work, and for the link thread to write what it has.
-constexpr Duration kDrainTime = std::chrono::seconds(2);
+// At a planned stop: for the other VMs to learn that this one leaves, and for the link thread to
+// write what it has.
+constexpr Duration kAnnounceTime = std::chrono::seconds(2);
+// For the news of a placement to reach all VMs, and for a VM that returns to be acknowledged by its
+// monitors. Without it leaves had no usable slot for up to 0.5 s after each return of a VM.
+constexpr Duration kGiveUpDelay = std::chrono::milliseconds(1500);
 constexpr Duration kFlushTime = std::chrono::milliseconds(500);
 constexpr Duration kStateInterval = std::chrono::milliseconds(500);
 
@@ -23,7 +27,9 @@
       options(options),
       push(std::move(push)),
       timer(context),
-      holder({.vm = options.vm, .takeover_wait = options.limits.takeover_wait}) {}
+      holder({.vm = options.vm,
+              .takeover_wait = options.limits.takeover_wait,
+              .give_up_delay = kGiveUpDelay}) {}
 
 void LeafDuty::Start() {
   this->ScheduleTick();
@@ -43,7 +49,13 @@
   } else if (const auto* level = std::get_if<PeerLevel>(&message)) {
     this->OnPeerLevel(*level);
   } else if (const auto* release = std::get_if<PeerRelease>(&message)) {
-    this->holder.OnRelease(release->leaf, release->slots, BootClock::now());
+    const TimePoint now = BootClock::now();
+    if (release->slots > 0) {
+      this->holder.OnRelease(release->leaf, release->slots, now);
+    }
+    if (release->primary) {
+      this->holder.OnPrimaryRelease(release->leaf, now);
+    }
   } else if (const auto* quarantined = std::get_if<PeerQuarantine>(&message)) {
     this->OnQuarantine(*quarantined);
   }
@@ -118,7 +130,6 @@
                          const ControlView& view,
                          TimePoint now) {
   const bool direct = this->options.limits.policy == BrokerPolicy::kDirect;
-  const std::vector<SlotOwner>& owners = this->holder.plan().OwnersOf(leaf.id);
   const bool owned = direct || this->holder.plan().SlotsOf(this->options.vm, leaf.id) > 0;
   Entry* entry = this->Find(leaf.id);
   if (entry == nullptr) {
@@ -140,17 +151,11 @@
   entry->address = leaf.address;
   entry->port = leaf.port;
   entry->total_slots = service.slots;
-  WarmUpShare share{.primary = true, .primary_slots = service.slots, .total_slots = service.slots};
-  if (!direct && !owners.empty()) {
-    share.primary = owners.front().vm == this->options.vm;
-    share.primary_slots = owners.front().slots;
-  }
   const TableRow* row =
       view.table == nullptr ? nullptr : view.table->Find(service.name, leaf.data_centre);
   const TableRow defaults;
   const TableRow& rules = row == nullptr ? defaults : *row;
   this->Handle(*entry, [&](LeafDispatcher& dispatcher, TimePoint) {
-    dispatcher.SetShare(share);
     dispatcher.SetQueueLimit(rules.queue_limit);
     dispatcher.SetTakenOut(rules.state == RowState::kOut, now);
   });
@@ -164,6 +169,21 @@
   return this->holder.Usable(entry.dispatcher->leaf(), now);
 }
 
+// A VM that is not the primary counts all slots but its own as the primary's, so that the owners
+// together never exceed the level of a cold leaf while slots and the role of primary move.
+WarmUpShare LeafDuty::ShareOf(const Entry& entry, TimePoint now) const {
+  const std::uint32_t total = entry.total_slots;
+  if (this->options.limits.policy == BrokerPolicy::kDirect) {
+    return {.primary = true, .primary_slots = total, .total_slots = total};
+  }
+  const LeafId& leaf = entry.dispatcher->leaf();
+  const std::uint32_t held = std::min(total, this->holder.Held(leaf, now));
+  const bool primary = this->holder.ActsAsPrimary(leaf, now);
+  return {.primary = primary,
+          .primary_slots = primary ? held : total - held,
+          .total_slots = total};
+}
+
 LeafDuty::Entry* LeafDuty::Find(const LeafId& leaf) {
   const auto found = this->entries.find(leaf.value);
   return found == this->entries.end() ? nullptr : found->second.get();
@@ -267,33 +287,37 @@
   }
 }
 
-// Work that waits is finished first, because the link thread already refuses new work. Then the
-// slots go to the other VMs, and the process ends when nothing is in flight.
+// The slots are used until the other VMs know their new owners; otherwise a leaf whose owners all
+// stop would be unreachable until the news has spread. Then the slots go to the new owners as soon
+// as each leaf is idle, and the process ends when nothing is in flight.
 void LeafDuty::ContinueStop(TimePoint now) {
+  if (!this->left_at) {
+    if (now >= this->leave_at) {
+      this->left_at = now;
+      if (this->latest.view) {
+        this->holder.Leave(this->latest.plan_without, this->latest.view->vms->generation, now);
+      }
+      this->on_left();
+    }
+    return;
+  }
   bool idle = true;
-  bool queued = false;
   for (const auto& [name, entry] : this->entries) {
     idle = idle && entry->dispatcher->idle();
-    queued = queued || entry->dispatcher->queued() > 0;
-  }
-  if (!this->left_at && (!queued || now >= this->drain_until)) {
-    this->left_at = now;
-    if (this->latest.view) {
-      this->holder.Leave(this->latest.plan_without, this->latest.view->vms->generation, now);
-    }
-    return;
   }
   // The last answers and releases must have left the link thread.
-  const bool flushed = this->left_at && now >= *this->left_at + kFlushTime && this->backlog.empty();
+  const bool flushed = now >= *this->left_at + kFlushTime && this->backlog.empty();
   if (this->on_stopped && ((idle && flushed) || now >= this->stop_at)) {
     std::exchange(this->on_stopped, nullptr)();
   }
 }
 
-void LeafDuty::BeginStop(std::function<void()> new_on_stopped) {
+void LeafDuty::BeginStop(std::function<void()> new_on_left,
+                         std::function<void()> new_on_stopped) {
   this->stopping = true;
   this->stop_at = BootClock::now() + this->options.limits.stop_limit;
-  this->drain_until = BootClock::now() + kDrainTime;
+  this->leave_at = BootClock::now() + kAnnounceTime;
+  this->on_left = std::move(new_on_left);
   this->on_stopped = std::move(new_on_stopped);
 }
 
--- a/src/broker/leaf_duty.h
+++ b/src/broker/leaf_duty.h
@@ -33,7 +33,8 @@
   void Start();
   void OnLinkMessage(ToLeaf message);       // from the link thread
   void OnView(const PlannedView& planned);  // from the control thread
-  void BeginStop(std::function<void()> on_stopped);
+  // `on_left` runs when the slots have been given up, `on_stopped` when nothing is in flight.
+  void BeginStop(std::function<void()> on_left, std::function<void()> on_stopped);
   void Close();
 
   std::string StateJson() const;  // any thread
@@ -52,6 +53,7 @@
   template <typename Event>
   void Handle(Entry& entry, const Event& event) {
     const TimePoint now = BootClock::now();
+    entry.dispatcher->SetShare(this->ShareOf(entry, now));
     entry.dispatcher->SetSlots(this->UsableSlots(entry, now), now);
     event(*entry.dispatcher, now);
     this->Perform(entry, now);
@@ -62,6 +64,7 @@
   void Emit(ToLink message);
   void FlushBacklog();
   std::uint32_t UsableSlots(const Entry& entry, TimePoint now);
+  WarmUpShare ShareOf(const Entry& entry, TimePoint now) const;
   void OnWork(LeafWork work);
   void OnCancel(const CancelWork& cancel);
 
@@ -98,9 +101,10 @@
   Quarantine quarantine;
   bool suspects_changed = false;
   bool stopping = false;
+  std::function<void()> on_left;
   std::function<void()> on_stopped;
   TimePoint stop_at{};
-  TimePoint drain_until{};
+  TimePoint leave_at{};
   std::optional<TimePoint> left_at;  // slots were handed over
   TimePoint state_at{};
   mutable std::mutex state_mutex;
--- a/src/broker/leaf_duty_peers.cc
+++ b/src/broker/leaf_duty_peers.cc
@@ -25,7 +25,7 @@
   }
   const std::vector<SlotOwner>& owners = this->holder.plan().OwnersOf(entry.dispatcher->leaf());
   std::optional<LeafLevel> level = entry.dispatcher->TakeLevelMessage();
-  const bool primary = !owners.empty() && owners.front().vm == this->options.vm;
+  const bool primary = this->holder.ActsAsPrimary(entry.dispatcher->leaf(), now);
   // The other owner hears of the level again after this time, because a message may be lost.
   constexpr Duration kTellInterval = std::chrono::seconds(2);
   if (!level && primary && now - entry.told_at >= kTellInterval) {
@@ -48,6 +48,11 @@
        this->holder.TakeHandOvers(dispatcher.leaf(), dispatcher.busy())) {
     this->Emit(PeerRelease{.vm = given.to, .leaf = given.leaf, .slots = given.slots});
   }
+  if (dispatcher.busy() == 0 || dispatcher.Level().warm) {
+    if (const std::optional<VmId> vm = this->holder.TakePrimaryHandOver(dispatcher.leaf())) {
+      this->Emit(PeerRelease{.vm = *vm, .leaf = dispatcher.leaf(), .primary = true});
+    }
+  }
 }
 
 void LeafDuty::OnCrash(const LeafCrash& crash) {
--- a/src/broker/link_duty.cc
+++ b/src/broker/link_duty.cc
@@ -84,7 +84,8 @@
       const auto release = body.getSlotRelease();
       this->push(ToLeaf(PeerRelease{.vm = link.peer_vm(),
                                     .leaf = LeafId(TextOf(release.getLeaf())),
-                                    .slots = release.getSlots()}));
+                                    .slots = release.getSlots(),
+                                    .primary = release.getPrimary()}));
       return;
     }
     case wire::Frame::Body::QUARANTINE: {
--- a/src/broker/link_peers.cc
+++ b/src/broker/link_peers.cc
@@ -96,6 +96,7 @@
   auto body = builder->initRoot<wire::Frame>().getBody().initSlotRelease();
   body.setLeaf(release.leaf.value);
   body.setSlots(release.slots);
+  body.setPrimary(release.primary);
   this->SendToPeer(release.vm, std::move(builder));
 }
 
--- a/src/broker/messages.h
+++ b/src/broker/messages.h
@@ -34,6 +34,7 @@
   VmId vm;
   LeafId leaf;
   std::uint32_t slots = 0;
+  bool primary = false;  // the sender no longer acts as primary
 };
 struct PeerQuarantine {  // towards the link thread: to all fronts and some brokers
   QuarantineReport report;
--- a/src/front/dispatcher.cc
+++ b/src/front/dispatcher.cc
@@ -4,6 +4,13 @@
 
 namespace ibishold {
 
+namespace {
+
+// A rolling restart changes the placement several times within the time of one hand-over.
+constexpr std::size_t kFormerPlacements = 4;
+
+}  // namespace
+
 Dispatcher::Dispatcher(const FrontOptions& options)
     : tracker(options.snapshot),
       latency(options.latency),
@@ -17,10 +24,10 @@
   const ControlViewPtr& next = this->current_view;
   if (next->topology && (!before || before->topology != next->topology)) {
     this->tracker.SetTopology(next->topology, now);
-    this->owners.clear();
+    this->RetirePlacement(now);
   }
   if (!before || before->vms != next->vms) {
-    this->owners.clear();
+    this->RetirePlacement(now);
   }
   if (!before || before->table != next->table) {
     this->shares.SetTable(next->table, now);
@@ -41,18 +48,27 @@
                                                TimePoint now) {
   std::vector<ReplicaRoute> routes;
   std::vector<ReplicaRoute> declining;
-  for (const Leaf* leaf : leaves) {
-    const double weight = this->shares.WeightOf(service.name, leaf->data_centre, now);
-    for (const SlotOwner& owner : this->OwnersOf(*leaf, service.slots)) {
+  const auto add = [&](const Leaf& leaf, const std::vector<SlotOwner>& from) {
+    const double weight = this->shares.WeightOf(service.name, leaf.data_centre, now);
+    for (const SlotOwner& owner : from) {
       const bool avoided = std::any_of(avoid.begin(), avoid.end(), [&](const RouteKey& key) {
-        return key.first == leaf->id && key.second == owner.vm;
+        return key.first == leaf.id && key.second == owner.vm;
       });
       if (weight > 0 && !avoided && this->Reachable(owner.vm, now)) {
         const ReplicaRoute route{
-            .leaf = leaf, .owner = owner.vm, .slots = owner.slots, .weight = weight};
-        (this->Declines(leaf->id, owner.vm, now) ? declining : routes).push_back(route);
+            .leaf = &leaf, .owner = owner.vm, .slots = owner.slots, .weight = weight};
+        (this->Declines(leaf.id, owner.vm, now) ? declining : routes).push_back(route);
       }
     }
+  };
+  for (const Leaf* leaf : leaves) {
+    add(*leaf, this->OwnersOf(*leaf, service.slots));
+  }
+  if (routes.empty()) {
+    // A former owner keeps its slots until it hands them over.
+    for (const Leaf* leaf : leaves) {
+      add(*leaf, this->FormerOwnersOf(leaf->id, now));
+    }
   }
   if (routes.empty()) {
     routes = std::move(declining);
@@ -189,6 +205,37 @@
   return entry->second;
 }
 
+std::vector<SlotOwner> Dispatcher::FormerOwnersOf(const LeafId& leaf, TimePoint now) const {
+  std::vector<SlotOwner> result;
+  const auto current = this->owners.find(leaf.value);
+  for (const FormerPlacement& placement : this->former) {
+    const auto found = placement.owners.find(leaf.value);
+    if (placement.until <= now || found == placement.owners.end()) {
+      continue;
+    }
+    for (const SlotOwner& owner : found->second) {
+      const auto same = [&owner](const SlotOwner& other) { return other.vm == owner.vm; };
+      const bool owns = current != this->owners.end() &&
+                        std::any_of(current->second.begin(), current->second.end(), same);
+      if (!owns && std::none_of(result.begin(), result.end(), same)) {
+        result.push_back(owner);
+      }
+    }
+  }
+  return result;
+}
+
+void Dispatcher::RetirePlacement(TimePoint now) {
+  if (!this->owners.empty()) {
+    this->former.push_front({.owners = std::exchange(this->owners, {}),
+                             .until = now + this->options.former_owner_memory});
+  }
+  while (!this->former.empty() &&
+         (this->former.size() > kFormerPlacements || this->former.back().until <= now)) {
+    this->former.pop_back();
+  }
+}
+
 void Dispatcher::Declined(const LeafId& leaf, const VmId& broker, TimePoint now) {
   this->declined_until[{leaf, broker}] = now + this->options.decline_memory;
 }
--- a/src/front/dispatcher.h
+++ b/src/front/dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef SRC_FRONT_DISPATCHER_H_
 #define SRC_FRONT_DISPATCHER_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -104,7 +105,15 @@
   FrontCounters counters;
 
  private:
+  using Placement = std::unordered_map<std::string, std::vector<SlotOwner>>;  // by leaf
+  struct FormerPlacement {
+    Placement owners;
+    TimePoint until{};
+  };
+
   const std::vector<SlotOwner>& OwnersOf(const Leaf& leaf, std::uint32_t slots);
+  std::vector<SlotOwner> FormerOwnersOf(const LeafId& leaf, TimePoint now) const;
+  void RetirePlacement(TimePoint now);
   void NotWanted(std::uint64_t batch);
   bool Declines(const LeafId& leaf, const VmId& broker, TimePoint now) const;
   bool Reachable(const VmId& broker, TimePoint now) const;
@@ -114,7 +123,8 @@
   ReplicaChooser chooser;
   // Owners are computed on first use: placing all leaves of the growth target over 1,100 VMs at
   // once would stall requests for some 200 ms after each change of the VM list.
-  std::unordered_map<std::string, std::vector<SlotOwner>> owners;
+  Placement owners;
+  std::deque<FormerPlacement> former;  // newest first
   std::unordered_map<std::string, TimePoint> failed_until;  // by broker
   std::map<RouteKey, TimePoint> declined_until;
   std::unordered_map<std::uint64_t, Attempt> attempts;
--- a/src/front/execute_dispatch.cc
+++ b/src/front/execute_dispatch.cc
@@ -91,8 +91,11 @@
   if (this->Ask(execution, now)) {
     return;
   }
-  if (execution.waits < this->options.route_waits &&
-      now + this->options.route_wait < execution.header.deadline) {
+  // Links may be opening or owners changing; nothing has run, so trying again is free of risk.
+  const std::uint32_t wait_limit =
+      execution.owner_changes ? this->options.owner_waits : this->options.route_waits;
+  if (execution.waits < wait_limit &&
+      now + this->options.route_wait + this->options.cancel_margin < execution.header.deadline) {
     ++execution.waits;
     this->dispatcher.timers.Add({.at = now + this->options.route_wait,
                                  .kind = TimerKind::kRoute,
@@ -155,11 +158,15 @@
     return;
   }
   const bool time_left = now + this->options.cancel_margin < execution.header.deadline;
-  const bool not_sent = reply.outcome == wire::Outcome::UNREACHABLE && reply.message.empty();
+  // The request has reached neither the queue of a leaf nor the leaf.
+  const bool no_route = reply.outcome == wire::Outcome::NOT_OWNER ||
+                        reply.outcome == wire::Outcome::UNREACHABLE ||
+                        reply.outcome == wire::Outcome::DRAINING;
   if (!execution.finished && time_left && reply.outcome != wire::Outcome::CANCELLED &&
-      reply.outcome != wire::Outcome::QUARANTINED && (not_sent || execution.passes == 0)) {
+      reply.outcome != wire::Outcome::QUARANTINED && (no_route || execution.passes == 0)) {
     execution.avoid.emplace_back(attempt.leaf, attempt.broker);
-    execution.passes += not_sent ? 0 : 1;
+    execution.passes += no_route ? 0 : 1;
+    execution.owner_changes |= reply.outcome == wire::Outcome::NOT_OWNER;
     ++this->dispatcher.counters.reroutes;
     this->AskOrRefuse(execution, now);
     return;
--- a/src/front/execute_engine.h
+++ b/src/front/execute_engine.h
@@ -62,6 +62,7 @@
     std::vector<RouteKey> avoid;  // routes that refused it
     std::uint32_t passes = 0;     // to another owner after a refusal
     std::uint32_t waits = 0;      // for a reachable owner
+    bool owner_changes = false;   // a broker said that it is not the owner
     bool finished = false;        // a result was given; a late one may still improve it
   };
 
--- a/src/ownership/slot_holder.cc
+++ b/src/ownership/slot_holder.cc
@@ -38,17 +38,20 @@
     }
     Part& part = this->parts[leaf.value];
     part.Settle(now);
-    const std::uint32_t owned = part.held + part.pending;
+    const std::uint32_t owned = part.kept() + part.pending;
     if (target < owned) {
+      if (!part.giving()) {
+        part.give_at = now + this->options.give_up_delay;
+      }
       const std::uint32_t lost = part.Shrink(owned - target);
-      this->Owe(part, lost, before->OwnersOf(leaf), after);
+      this->Promise(part, lost, before->OwnersOf(leaf), after);
     } else if (target > owned) {
+      part.GiveUp();
       part.Grow(target - owned, now + wait);
-      const auto released = this->early.extract(leaf.value);
-      if (!released.empty()) {
-        this->OnRelease(leaf, released.mapped().slots, now);
-      }
     }
+    this->SetPrimary(part, after, now, wait);
+    part.Settle(now);
+    this->ApplyEarly(leaf, part, now);
   });
   // Leaves that left the topology need no hand-over.
   std::erase_if(this->parts, [this](const auto& entry) {
@@ -62,10 +65,7 @@
     found->second.Settle(now);
   }
   if (found == this->parts.end() || found->second.pending == 0) {
-    EarlyRelease& release = this->early[leaf.value];
-    const bool recent = now - release.at <= this->options.takeover_wait;
-    release.slots = recent ? release.slots + slots : slots;
-    release.at = now;
+    this->EarlyFor(leaf, now).slots += slots;
     return;
   }
   Part& part = found->second;
@@ -74,6 +74,64 @@
   part.pending -= gained;
 }
 
+void SlotHolder::OnPrimaryRelease(const LeafId& leaf, TimePoint now) {
+  const auto found = this->parts.find(leaf.value);
+  if (found == this->parts.end() || !found->second.primary_next) {
+    this->EarlyFor(leaf, now).primary = true;
+    return;
+  }
+  found->second.primary_from = now;
+  found->second.Settle(now);
+}
+
+SlotHolder::EarlyRelease& SlotHolder::EarlyFor(const LeafId& leaf, TimePoint now) {
+  EarlyRelease& release = this->early[leaf.value];
+  if (now - release.at > this->options.takeover_wait) {
+    release = {};
+  }
+  release.at = now;
+  return release;
+}
+
+void SlotHolder::ApplyEarly(const LeafId& leaf, const Part& part, TimePoint now) {
+  const auto found = this->early.find(leaf.value);
+  if (found == this->early.end()) {
+    return;
+  }
+  if (part.pending > 0 && found->second.slots > 0) {
+    this->OnRelease(leaf, std::exchange(found->second.slots, 0), now);
+  }
+  if (part.primary_next && found->second.primary) {
+    found->second.primary = false;
+    this->OnPrimaryRelease(leaf, now);
+  }
+}
+
+void SlotHolder::SetPrimary(Part& part,
+                            const std::vector<SlotOwner>& after,
+                            TimePoint now,
+                            Duration wait) {
+  const bool next = !after.empty() && after.front().vm == this->options.vm;
+  if (!next) {
+    part.primary_next = false;
+    if (part.primary && !after.empty()) {
+      if (!part.giving()) {
+        part.give_at = now + this->options.give_up_delay;
+      }
+      part.new_primary = after.front().vm;
+    }
+    return;
+  }
+  if (part.new_primary) {
+    part.GiveUp();  // the VM that was to be primary may act as such already
+  }
+  part.primary_owed.reset();
+  if (!part.primary && !part.primary_next) {
+    part.primary_next = true;
+    part.primary_from = now + wait;
+  }
+}
+
 void SlotHolder::CheckHold(TimePoint hold_until, TimePoint now) {
   const bool valid = now < hold_until;
   // The right known at the last check has run out: either it lapsed, or this process was suspended
@@ -97,18 +155,43 @@
   if (this->leaving || this->lapsed(now)) {
     return 0;
   }
+  return this->Held(leaf, now);
+}
+
+std::uint32_t SlotHolder::Held(const LeafId& leaf, TimePoint now) const {
   const auto found = this->parts.find(leaf.value);
   if (found == this->parts.end()) {
     return 0;
   }
   const Part& part = found->second;
-  return part.held + (now >= part.pending_until ? part.pending : 0);
+  return (now >= part.give_at ? part.kept() : part.held) +
+         (now >= part.pending_until ? part.pending : 0);
+}
+
+bool SlotHolder::ActsAsPrimary(const LeafId& leaf, TimePoint now) const {
+  const auto found = this->parts.find(leaf.value);
+  if (found == this->parts.end()) {
+    return false;
+  }
+  const Part& part = found->second;
+  return (part.primary && !(part.new_primary && now >= part.give_at)) ||
+         (part.primary_next && now >= part.primary_from);
+}
+
+std::optional<VmId> SlotHolder::TakePrimaryHandOver(const LeafId& leaf) {
+  const auto found = this->parts.find(leaf.value);
+  return found == this->parts.end() ? std::nullopt
+                                    : std::exchange(found->second.primary_owed, std::nullopt);
 }
 
 std::vector<SlotHandOver> SlotHolder::TakeHandOvers(const LeafId& leaf, std::uint32_t in_flight) {
   std::vector<SlotHandOver> ready;
   const auto found = this->parts.find(leaf.value);
-  if (found == this->parts.end() || found->second.owed.empty() || in_flight > found->second.held) {
+  if (found == this->parts.end()) {
+    return ready;
+  }
+  found->second.Settle(this->checked_at);
+  if (found->second.owed.empty() || in_flight > found->second.held) {
     return ready;
   }
   for (const auto& [vm, slots] : found->second.owed) {
@@ -122,15 +205,18 @@
                        std::uint64_t generation,
                        TimePoint now) {
   this->OnPlan(std::move(plan_without), generation, now);
+  for (auto& [leaf, part] : this->parts) {
+    part.GiveUp();
+  }
   this->leaving = true;
 }
 
 // Slots lost by the owners of the former placement go, in their order, to those that gained some,
 // in theirs; every VM with the same two placements comes to the same result.
-void SlotHolder::Owe(Part& part,
-                     std::uint32_t lost,
-                     const std::vector<SlotOwner>& before,
-                     const std::vector<SlotOwner>& after) const {
+void SlotHolder::Promise(Part& part,
+                         std::uint32_t lost,
+                         const std::vector<SlotOwner>& before,
+                         const std::vector<SlotOwner>& after) const {
   std::vector<SlotOwner> gains;
   for (const SlotOwner& owner : after) {
     const std::uint32_t had = SlotsIn(before, owner.vm);
@@ -151,7 +237,7 @@
         const std::uint32_t given = std::min(moved, lost);
         lost -= given;
         if (given > 0) {
-          part.owed[gains[next].vm] += given;
+          part.promised[gains[next].vm] += given;
         }
       }
       if (gains[next].slots == 0) {
@@ -165,6 +251,24 @@
   if (now >= this->pending_until) {
     this->held += std::exchange(this->pending, 0);
   }
+  if (this->primary_next && now >= this->primary_from) {
+    this->primary = true;
+    this->primary_next = false;
+  }
+  if (now >= this->give_at) {
+    this->GiveUp();
+  }
+}
+
+void SlotHolder::Part::GiveUp() {
+  this->held -= std::exchange(this->lost, 0);
+  for (const auto& [vm, slots] : std::exchange(this->promised, {})) {
+    this->owed[vm] += slots;
+  }
+  if (this->new_primary) {
+    this->primary = false;
+    this->primary_owed = std::exchange(this->new_primary, std::nullopt);
+  }
 }
 
 void SlotHolder::Part::Grow(std::uint32_t gained, TimePoint until) {
@@ -184,11 +288,11 @@
   this->pending_until = std::max(this->pending_until, until);
 }
 
-std::uint32_t SlotHolder::Part::Shrink(std::uint32_t lost) {
-  const std::uint32_t from_pending = std::min(lost, this->pending);
+std::uint32_t SlotHolder::Part::Shrink(std::uint32_t count) {
+  const std::uint32_t from_pending = std::min(count, this->pending);
   this->pending -= from_pending;
-  this->held -= lost - from_pending;
-  return lost - from_pending;
+  this->lost += count - from_pending;
+  return count - from_pending;
 }
 
 }  // namespace ibishold
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -135,6 +135,7 @@
     expect(report["cut"] == 0, "no request was cut off")
     expect(report["errors"].get("timeout", 0) == 0, "no request was left without an answer")
     expect(report["answered"] == report["offered"], "every request was answered")
+    expect(report["coverage_mean"] > 0.999, "coverage stayed full")
 
 
 CASES = {"front-kill": front_kill, "broker-kill": broker_kill, "broker-pause": broker_pause,
