Count no acknowledgement from a VM that has a newer list

Cause: the ownership simulation, extended to the role of primary, found two holders of one slot: a VM came back from a partition, got acknowledgements, and was cut off again before the list that had removed it arrived; its hold of 5 s then outlived the wait of 2 s. Change: an acknowledgement whose digests name a newer VM list does not extend the right to hold. The takeover wait grows by the give-up delay. The simulation now models which VM acknowledges, checks that at most one VM acts as primary, and shows each guard failing when it is removed.

--- a/include/ibishold/membership.h
+++ b/include/ibishold/membership.h
@@ -436,6 +436,7 @@
   bool ready(TimePoint now) const;
 
  private:
+  bool HasNewerList(const HeartbeatMessage& message) const;
   void ApplyFact(const VmFact& fact, TimePoint now);
   void ApplySelfFact(const VmFact& fact, TimePoint now);
   void ApplyReport(const VmId& reporter, const SilentVm& report, TimePoint now);
--- a/include/ibishold/ownership.h
+++ b/include/ibishold/ownership.h
@@ -85,7 +85,8 @@
   // After a longer lapse other VMs may have taken over without the platform; 30 s.
   Duration long_lapse = std::chrono::seconds(30);
   // Slots lost by a new placement are used for this time more, until the other VMs know their new
-  // owner and it may hold slots. Must leave 3 s of the takeover wait for requests in flight; 0 s.
+  // owner and it may hold slots. The takeover wait is longer by as much, so it must be the same on
+  // all VMs; 0 s.
   Duration give_up_delay{};
 };
 
@@ -105,9 +106,9 @@
   explicit SlotHolder(SlotHolderOptions options) : options(std::move(options)) {}
 
   // A new placement. Slots that were lost are not used after the give-up delay; slots that were
-  // gained are used after the takeover wait. Only in the first placement of a list that never changed
-  // (generation 1) there is no wait; a process that was restarted under such a list may overlap
-  // with what its predecessor left running.
+  // gained are used after the takeover wait. Only in the first placement of a list that never
+  // changed (generation 1) there is no wait; a process that was restarted under such a list may
+  // overlap with what its predecessor left running.
   void OnPlan(std::shared_ptr<const SlotPlan> new_plan,
               std::uint64_t list_generation,
               TimePoint now);
@@ -127,16 +128,16 @@
   // Slots that may be used now; 0 while the right to hold has lapsed.
   std::uint32_t Usable(const LeafId& leaf, TimePoint now) const;
 
-  // Slots to be given to other VMs, once, when no more calls than `in_flight` run at the leaf, as of
-  // the last CheckHold.
+  // Slots to be given to other VMs, once, when no more calls than `in_flight` run at the leaf, as
+  // of the last CheckHold.
   std::vector<SlotHandOver> TakeHandOvers(const LeafId& leaf, std::uint32_t in_flight);
 
   // Slots that this VM has, whether or not the right to hold has lapsed.
   std::uint32_t Held(const LeafId& leaf, TimePoint now) const;
 
-  // The primary of a leaf decides how many calls a cold leaf gets, so only one VM may act as primary
-  // at a time. A VM that becomes primary by a placement acts as such once the former primary has
-  // said that it stopped, or after the takeover wait.
+  // The primary of a leaf decides how many calls a cold leaf gets, so only one VM may act as
+  // primary at a time. A VM that becomes primary by a placement acts as such once the former
+  // primary has said that it stopped, or after the takeover wait.
   bool ActsAsPrimary(const LeafId& leaf, TimePoint now) const;
 
   // The VM to be told, once, that this VM no longer acts as primary; to be called only while this
@@ -173,13 +174,11 @@
   };
   struct EarlyRelease {
     std::uint32_t slots = 0;
-    bool primary = false;
     TimePoint at{};
   };
 
   void SetPrimary(Part& part, const std::vector<SlotOwner>& after, TimePoint now, Duration wait);
-  void ApplyEarly(const LeafId& leaf, const Part& part, TimePoint now);
-  EarlyRelease& EarlyFor(const LeafId& leaf, TimePoint now);
+  void ApplyEarly(const LeafId& leaf, TimePoint now);
   void Promise(Part& part,
                std::uint32_t lost,
                const std::vector<SlotOwner>& before,
@@ -191,7 +190,8 @@
   bool leaving = false;
   std::unordered_map<std::string, Part> parts;
   std::unordered_map<std::string, EarlyRelease> early;
-  bool suspended = true;  // until the first right to hold
+  std::unordered_map<std::string, TimePoint> early_primary;  // when the former primary stopped
+  bool suspended = true;                                     // until the first right to hold
   TimePoint known_until{};
   TimePoint checked_at{};
   TimePoint resume_at{};
--- a/src/membership/heartbeats.cc
+++ b/src/membership/heartbeats.cc
@@ -40,8 +40,9 @@
   if (message.acknowledgement) {
     this->heard_peer = true;
     // An acknowledgement that calls this run lost has just made the hold clock forget the
-    // heartbeat.
-    if (!outdated) {
+    // heartbeat. One that tells of a newer VM list does not count either: by that list other VMs
+    // may have taken over, and a process that returns could be cut off again before it arrives.
+    if (!outdated && !this->HasNewerList(message)) {
       this->hold.Acknowledged(message.vm, message.sequence);
     }
   } else {
@@ -72,6 +73,13 @@
   actions.push_back(SendDatagram{address, std::move(answer)});
 }
 
+bool Membership::HasNewerList(const HeartbeatMessage& message) const {
+  const std::uint64_t known = this->documents.vms() ? this->documents.vms()->generation : 0;
+  return std::any_of(message.digests.begin(), message.digests.end(), [known](const Digest& each) {
+    return each.key == kVmsKey && each.generation > known;
+  });
+}
+
 void Membership::ApplyFact(const VmFact& fact, TimePoint now) {
   const VmFact before = this->table.FactOf(fact.vm);
   if (!this->table.Apply(fact)) {
--- a/src/ownership/slot_holder.cc
+++ b/src/ownership/slot_holder.cc
@@ -26,10 +26,15 @@
   }
   const std::shared_ptr<const SlotPlan> before = std::exchange(this->current, std::move(new_plan));
   const bool first = !std::exchange(this->has_plan, true);
-  const Duration wait = first && list_generation <= 1 ? Duration{} : this->options.takeover_wait;
+  const Duration wait = first && list_generation <= 1
+                            ? Duration{}
+                            : this->options.takeover_wait + this->options.give_up_delay;
   std::erase_if(this->early, [&](const auto& entry) {
     return now - entry.second.at > this->options.takeover_wait;
   });
+  std::erase_if(this->early_primary, [&](const auto& entry) {
+    return now - entry.second > this->options.takeover_wait;
+  });
   this->current->ForEach([&](const LeafId& leaf, const std::vector<SlotOwner>& after) {
     const std::uint32_t target = SlotsIn(after, this->options.vm);
     const auto found = this->parts.find(leaf.value);
@@ -51,7 +56,7 @@
     }
     this->SetPrimary(part, after, now, wait);
     part.Settle(now);
-    this->ApplyEarly(leaf, part, now);
+    this->ApplyEarly(leaf, now);
   });
   // Leaves that left the topology need no hand-over.
   std::erase_if(this->parts, [this](const auto& entry) {
@@ -65,7 +70,10 @@
     found->second.Settle(now);
   }
   if (found == this->parts.end() || found->second.pending == 0) {
-    this->EarlyFor(leaf, now).slots += slots;
+    EarlyRelease& release = this->early[leaf.value];
+    const bool recent = now - release.at <= this->options.takeover_wait;
+    release.slots = recent ? release.slots + slots : slots;
+    release.at = now;
     return;
   }
   Part& part = found->second;
@@ -77,32 +85,22 @@
 void SlotHolder::OnPrimaryRelease(const LeafId& leaf, TimePoint now) {
   const auto found = this->parts.find(leaf.value);
   if (found == this->parts.end() || !found->second.primary_next) {
-    this->EarlyFor(leaf, now).primary = true;
+    this->early_primary[leaf.value] = now;
     return;
   }
   found->second.primary_from = now;
   found->second.Settle(now);
 }
 
-SlotHolder::EarlyRelease& SlotHolder::EarlyFor(const LeafId& leaf, TimePoint now) {
-  EarlyRelease& release = this->early[leaf.value];
-  if (now - release.at > this->options.takeover_wait) {
-    release = {};
-  }
-  release.at = now;
-  return release;
-}
-
-void SlotHolder::ApplyEarly(const LeafId& leaf, const Part& part, TimePoint now) {
-  const auto found = this->early.find(leaf.value);
-  if (found == this->early.end()) {
-    return;
-  }
-  if (part.pending > 0 && found->second.slots > 0) {
-    this->OnRelease(leaf, std::exchange(found->second.slots, 0), now);
+void SlotHolder::ApplyEarly(const LeafId& leaf, TimePoint now) {
+  const Part& part = this->parts.at(leaf.value);
+  if (part.pending > 0) {
+    const auto released = this->early.extract(leaf.value);
+    if (!released.empty()) {
+      this->OnRelease(leaf, released.mapped().slots, now);
+    }
   }
-  if (part.primary_next && found->second.primary) {
-    found->second.primary = false;
+  if (part.primary_next && this->early_primary.erase(leaf.value) > 0) {
     this->OnPrimaryRelease(leaf, now);
   }
 }
--- a/tests/broker/ownership_sim_test.cc
+++ b/tests/broker/ownership_sim_test.cc
@@ -17,7 +17,10 @@
   Duration takeover_wait = 8s;
   Duration resume_wait = 2s;
   Duration long_lapse = 30s;
+  Duration give_up_delay = 1500ms;
+  bool wait_longer = true;  // by the give-up delay
   bool check_hold = true;
+  bool newer_list_refuses = true;  // no acknowledgement counts from a VM with a newer list
 };
 
 class Fleet {
@@ -61,6 +64,8 @@
 
   World world;
   sim::Leaf leaf;
+  std::uint32_t most_primaries = 0;  // VMs that acted as primary at the same time
+  std::uint64_t with_primary = 0;    // checks that found one
 
  private:
   struct Process {
@@ -75,11 +80,14 @@
   using ProcessPtr = std::shared_ptr<Process>;
 
   void StartProcess(const std::string& name) {
-    auto process =
-        std::make_shared<Process>(SlotHolderOptions{.vm = VmId(name),
-                                                    .takeover_wait = this->guards.takeover_wait,
-                                                    .resume_wait = this->guards.resume_wait,
-                                                    .long_lapse = this->guards.long_lapse});
+    const Duration delay = this->guards.give_up_delay;
+    const Duration shorter = this->guards.wait_longer ? Duration{} : delay;
+    auto process = std::make_shared<Process>(
+        SlotHolderOptions{.vm = VmId(name),
+                          .takeover_wait = this->guards.takeover_wait - shorter,
+                          .resume_wait = this->guards.resume_wait,
+                          .long_lapse = this->guards.long_lapse,
+                          .give_up_delay = delay});
     process->name = name;
     LeafDispatcherOptions options;
     options.leaf = LeafId("leaf");
@@ -93,6 +101,11 @@
            raw->holder.TakeHandOvers(LeafId("leaf"), raw->broker->dispatcher.busy())) {
         this->Release(given);
       }
+      if (raw->broker->dispatcher.busy() == 0) {
+        if (const auto vm = raw->holder.TakePrimaryHandOver(LeafId("leaf"))) {
+          this->Release({.leaf = LeafId("leaf"), .to = *vm});
+        }
+      }
       return slots;
     };
     this->processes[name] = process;
@@ -111,7 +124,8 @@
     this->world.At(this->world.Delay(), [this, given] {
       const ProcessPtr to = this->processes.at(given.to.value);
       if (!to->broker->frozen && !to->cut) {
-        to->holder.OnRelease(given.leaf, given.slots, this->world.now);
+        given.slots == 0 ? to->holder.OnPrimaryRelease(given.leaf, this->world.now)
+                         : to->holder.OnRelease(given.leaf, given.slots, this->world.now);
       }
     });
   }
@@ -140,12 +154,31 @@
         this->generation, this->world.now);
   }
 
+  // The monitors are the other VMs; half of them, rounded up, must acknowledge.
+  void Acknowledge(const ProcessPtr& process) {
+    std::size_t monitors = 0;
+    std::size_t acknowledged = 0;
+    for (const auto& [name, monitor] : this->processes) {
+      if (monitor == process) {
+        continue;
+      }
+      ++monitors;
+      const bool newer = this->guards.newer_list_refuses && monitor->seen > process->seen;
+      const bool reachable =
+          !monitor->broker->frozen && !monitor->cut && !process->broker->frozen && !process->cut;
+      acknowledged += reachable && !newer ? 1 : 0;
+    }
+    if (acknowledged * 2 >= monitors) {
+      process->hold_until = this->world.now + 5s;
+    }
+  }
+
   // The first acknowledgement may come before the first check of the leaf thread, the newest list
   // up to a second later.
   void Back(const ProcessPtr& process) {
     process->cut = false;
     if (this->world.random.Unit() < 0.5) {
-      process->hold_until = this->world.now + 5s;
+      this->Acknowledge(process);
     }
     process->broker->Thaw();
     this->world.At(std::chrono::milliseconds(this->world.random.Below(1000)),
@@ -154,14 +187,28 @@
 
   void Renew() {
     for (const auto& [name, process] : this->processes) {
-      if (!process->broker->frozen && !process->cut) {
-        process->hold_until = this->world.now + 5s;
-      }
+      this->Acknowledge(process);
     }
     this->world.At(1s, [this] { this->Renew(); });
   }
 
+  void CountPrimaries() {
+    std::uint32_t acting = 0;
+    const LeafId leaf_id("leaf");
+    for (const auto& [name, process] : this->processes) {
+      if (process->broker->frozen) {
+        continue;  // sends nothing, and must not notice that time passes
+      }
+      process->holder.CheckHold(process->hold_until, this->world.now);
+      const bool usable = process->holder.Usable(leaf_id, this->world.now) > 0;
+      acting += usable && process->holder.ActsAsPrimary(leaf_id, this->world.now) ? 1 : 0;
+    }
+    this->most_primaries = std::max(this->most_primaries, acting);
+    this->with_primary += acting > 0 ? 1 : 0;
+  }
+
   void Load() {
+    this->CountPrimaries();
     for (const auto& [name, process] : this->processes) {
       if (!process->broker->frozen) {
         process->broker->Submit(std::chrono::milliseconds(100 + this->world.random.Below(1200)));
@@ -182,6 +229,8 @@
 struct Outcome {
   std::uint32_t most = 0;
   std::uint64_t completed = 0;
+  std::uint32_t most_primaries = 0;
+  std::uint64_t with_primary = 0;
 };
 
 Outcome Run(std::uint64_t seed, const Guards& guards) {
@@ -191,7 +240,10 @@
     fleet.Disturb();
   }
   fleet.world.Run(15s);
-  return {.most = fleet.leaf.most, .completed = fleet.leaf.completed - 1000000};
+  return {.most = fleet.leaf.most,
+          .completed = fleet.leaf.completed - 1000000,
+          .most_primaries = fleet.most_primaries,
+          .with_primary = fleet.with_primary};
 }
 
 std::uint32_t Exceeded(const Guards& guards) {
@@ -211,14 +263,29 @@
       CAPTURE(seed);
       CHECK(outcome.most <= kSlots);
       CHECK(outcome.completed > 2000);
+      // Guards against two VMs that each allow a cold leaf one call.
+      CHECK(outcome.most_primaries <= 1);
+      CHECK(outcome.with_primary > 2000);
+    }
+  }
+  SUBCASE("with slots that are given up at once") {
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+      CAPTURE(seed);
+      CHECK(Run(seed, {.give_up_delay = 0s}).most <= kSlots);
     }
   }
+  SUBCASE("with a takeover wait that does not cover the give-up delay it has") {
+    CHECK(Exceeded({.give_up_delay = 6s, .wait_longer = false}) > 0);
+  }
   SUBCASE("without the takeover wait it has") {
     CHECK(Exceeded({.takeover_wait = 0s}) > 0);
   }
   SUBCASE("without the check of the right to hold it has") {
     CHECK(Exceeded({.check_hold = false}) > 0);
   }
+  SUBCASE("with acknowledgements from VMs that have a newer list it has") {
+    CHECK(Exceeded({.newer_list_refuses = false}) > 0);
+  }
   SUBCASE("without the wait after a lapse it has") {
     CHECK(Exceeded({.resume_wait = 0s}) > 0);
   }
--- a/tests/front/route_test.cc
+++ b/tests/front/route_test.cc
@@ -51,4 +51,37 @@
   }
 }
 
+TEST_CASE("the owners of the leaves change") {
+  // Guards against requests that find no holder while slots move to another VM.
+  SimFront front({}, {.shards = 4, .replicas = 1, .vms = 2});
+  front.Ask("tray");
+  front.Run(milliseconds(50));
+  ControlView changed = *front.view;
+  VmList without = *changed.vms;
+  const VmId former = without.vms[0].id;
+  front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+    front.ReplyIn(milliseconds(1), batch,
+                  batch.broker == former
+                      ? front.Good(batch, call)
+                      : SimFront::Failed(call, wire::Outcome::NOT_OWNER, Verdict::kNotRun));
+  };
+  without.generation += 1;
+  without.vms[0].state = VmState::kLeaving;
+  changed.vms = std::make_shared<const VmList>(without);
+  front.SetView(changed);
+
+  SUBCASE("a former owner serves until it has handed its slots over") {
+    const std::uint64_t ticket = front.Ask("tray");
+    front.Run(milliseconds(100));
+    CHECK(front.FractionOf(ticket) == doctest::Approx(1.0));
+  }
+  SUBCASE("but not for longer than it can still have them") {
+    front.Run(milliseconds(9000));
+    const std::uint64_t ticket = front.Ask("tray");
+    front.Run(milliseconds(600));
+    CHECK(front.AnswerOf(ticket).status == 503);
+    CHECK(front.AnswerOf(ticket).verdict == Verdict::kNotRun);
+  }
+}
+
 }  // namespace ibishold::testing
--- a/tests/ownership/slot_holder_test.cc
+++ b/tests/ownership/slot_holder_test.cc
@@ -104,6 +104,66 @@
   }
 }
 
+// Guards against leaves that nobody serves while the news of a placement spreads, and against two
+// VMs that each decide how many calls a cold leaf gets.
+TEST_CASE("slots and the role of primary move together") {
+  const auto both = PlanOf({"a", "b"});
+  const std::string first = both->OwnersOf(kLeaf).front().vm.value;
+  const std::string second = first == "a" ? "b" : "a";
+  const auto without_first = PlanOf({second});
+  SlotHolder former({.vm = VmId(first), .give_up_delay = 1500ms});
+  SlotHolder next({.vm = VmId(second), .give_up_delay = 1500ms});
+  for (SlotHolder* holder : {&former, &next}) {
+    holder->OnPlan(both, 1, kStart);
+    holder->CheckHold(TimePoint::max(), kStart);
+  }
+  CHECK(former.ActsAsPrimary(kLeaf, kStart));
+  CHECK_FALSE(next.ActsAsPrimary(kLeaf, kStart));
+
+  const TimePoint changed = kStart + 500ms;
+  former.OnPlan(without_first, 2, changed);
+  next.OnPlan(without_first, 2, changed);
+  former.CheckHold(TimePoint::max(), changed);
+  SUBCASE("they are used for the give-up delay more") {
+    former.CheckHold(TimePoint::max(), changed + 900ms);
+    former.CheckHold(TimePoint::max(), changed + 1499ms);
+    CHECK(former.Usable(kLeaf, changed + 1499ms) == 2);
+    CHECK(former.ActsAsPrimary(kLeaf, changed + 1499ms));
+    CHECK(former.TakeHandOvers(kLeaf, 0).empty());
+    CHECK_FALSE(former.TakePrimaryHandOver(kLeaf));
+    CHECK(former.Usable(kLeaf, changed + 1500ms) == 0);
+    CHECK_FALSE(former.ActsAsPrimary(kLeaf, changed + 1500ms));
+
+    SUBCASE("then both are handed over, once") {
+      former.CheckHold(TimePoint::max(), changed + 1500ms);
+      CHECK(former.TakeHandOvers(kLeaf, 0).size() == 1);
+      CHECK(former.TakePrimaryHandOver(kLeaf) == VmId(second));
+      CHECK_FALSE(former.TakePrimaryHandOver(kLeaf));
+    }
+  }
+  SUBCASE("the next primary acts when it is told") {
+    next.OnPrimaryRelease(kLeaf, changed + 2s);
+    CHECK(next.ActsAsPrimary(kLeaf, changed + 2s));
+    CHECK(next.Usable(kLeaf, changed + 2s) == 2);
+  }
+  SUBCASE("or after the takeover wait and the give-up delay") {
+    CHECK_FALSE(next.ActsAsPrimary(kLeaf, changed + 9499ms));
+    CHECK(next.ActsAsPrimary(kLeaf, changed + 9500ms));
+    CHECK(next.Usable(kLeaf, changed + 9500ms) == 4);
+  }
+  SUBCASE("a primary that comes back waits like the others") {
+    former.OnPlan(both, 3, changed + 1s);
+    CHECK_FALSE(former.ActsAsPrimary(kLeaf, changed + 10s));
+    CHECK(former.ActsAsPrimary(kLeaf, changed + 11s));
+  }
+  SUBCASE("a planned stop does not wait") {
+    former.Leave(without_first, 2, changed + 100ms);
+    CHECK(former.Usable(kLeaf, changed + 100ms) == 0);
+    CHECK(former.TakeHandOvers(kLeaf, 0).size() == 1);
+    CHECK(former.TakePrimaryHandOver(kLeaf) == VmId(second));
+  }
+}
+
 TEST_CASE("the right to hold lapses") {
   SlotHolder holder({.vm = VmId("a")});
   holder.OnPlan(PlanOf({"a", "b"}), 1, kStart);
