--- a/include/ibishold/snapshot.h
+++ b/include/ibishold/snapshot.h
@@ -148,6 +148,13 @@
                            const std::vector<LeafId>& tried,
                            TimePoint now) const;
 
+  // Leaves of a shard without candidates that are due to be asked again. Marks them as asked. Their
+  // last statements may be outdated, and no other request would renew them.
+  std::vector<const Leaf*> LeavesToCheck(const Shard& shard,
+                                         const LeafFilter& usable,
+                                         const std::vector<LeafId>& tried,
+                                         TimePoint now) const;
+
   // Index of the shard that holds the key; the service's shards cover all keys.
   static std::size_t ShardOf(const Service& service, std::uint64_t key);
 
--- a/src/front/execute_dispatch.cc
+++ b/src/front/execute_dispatch.cc
@@ -66,9 +66,12 @@
   execution.header.snapshot = pinned->snapshot;
   const std::size_t shard_index = QueryPlanner::ShardOf(*pinned->service, execution.key);
   const Shard& shard = pinned->service->shards[shard_index];
-  const QueryPlanner::Candidates candidates = this->planner.CandidatesFor(
-      shard, pinned->snapshot, this->dispatcher.UsableLeaves(execution.header.service, now), {},
-      now);
+  const LeafFilter usable = this->dispatcher.UsableLeaves(execution.header.service, now);
+  QueryPlanner::Candidates candidates =
+      this->planner.CandidatesFor(shard, pinned->snapshot, usable, {}, now);
+  if (candidates.empty()) {
+    candidates.possible = this->planner.LeavesToCheck(shard, usable, {}, now);
+  }
   std::vector<const Leaf*> leaves = candidates.preferred();
   if (execution.passes > 0) {
     // A refused request may be passed to the other owner of its leaf, not to another leaf.
--- a/src/front/query_plan.cc
+++ b/src/front/query_plan.cc
@@ -34,9 +34,13 @@
   if (run.attempts >= this->options.attempts_per_shard) {
     return false;
   }
-  const QueryPlanner::Candidates candidates =
-      this->planner.CandidatesFor(service.shards[shard], query.header.snapshot,
-                                  this->dispatcher.UsableLeaves(service.name, now), run.tried, now);
+  const LeafFilter usable = this->dispatcher.UsableLeaves(service.name, now);
+  QueryPlanner::Candidates candidates = this->planner.CandidatesFor(
+      service.shards[shard], query.header.snapshot, usable, run.tried, now);
+  if (candidates.empty() && extra != Extra::kHedge) {
+    candidates.possible =
+        this->planner.LeavesToCheck(service.shards[shard], usable, run.tried, now);
+  }
   std::optional<ReplicaRoute> route =
       this->dispatcher.Choose(service, candidates.preferred(), run.avoid, now);
   if (!route) {
--- a/src/snapshot/query_planner.cc
+++ b/src/snapshot/query_planner.cc
@@ -32,6 +32,21 @@
   return candidates;
 }
 
+std::vector<const Leaf*> QueryPlanner::LeavesToCheck(const Shard& shard,
+                                                     const LeafFilter& usable,
+                                                     const std::vector<LeafId>& tried,
+                                                     TimePoint now) const {
+  std::vector<const Leaf*> due;
+  for (const Leaf& leaf : shard.leaves) {
+    const bool excluded =
+        std::find(tried.begin(), tried.end(), leaf.id) != tried.end() || (usable && !usable(leaf));
+    if (!excluded && this->tracker.DueForCheck(leaf.id, now)) {
+      due.push_back(&leaf);
+    }
+  }
+  return due;
+}
+
 std::size_t QueryPlanner::ShardOf(const Service& service, std::uint64_t key) {
   const auto after =
       std::upper_bound(service.shards.begin(), service.shards.end(), key,
--- a/tests/front/snapshot_test.cc
+++ b/tests/front/snapshot_test.cc
@@ -110,6 +110,57 @@
   }
 }
 
+// Guards against shards that stay missing for ever: the last leaf to change its version is known
+// not to hold the pinned one, so nobody asks it and nobody learns that it does by now.
+TEST_CASE("a shard without a leaf known to hold the snapshot is asked again") {
+  DocumentOptions documents;
+  documents.replicas = 1;
+  SimFront front({}, documents);
+  bool behind = true;  // shard s0 holds the old versions
+  front.on_call = [&](const SendBatch& batch, const LeafCall& call) {
+    LeafReply reply = front.Good(batch, call);
+    const bool old = behind && call.shard == ShardId("s0");
+    reply.index_versions = old ? std::vector<std::uint64_t>{6, 7} : std::vector<std::uint64_t>{8};
+    if (batch.snapshot.index_version != (old ? 7 : 8)) {
+      reply.outcome = wire::Outcome::VERSION_GONE;
+      reply.verdict = Verdict::kNotRun;
+      reply.records.clear();
+      reply.stated.index_version = reply.index_versions.back();
+    }
+    front.ReplyIn(milliseconds(2), batch, reply);
+  };
+  const std::uint64_t first = front.Ask("a");
+  front.Run(milliseconds(600));
+  REQUIRE(front.Answered(first));
+  CHECK(front.VersionOf(first) == 8);
+  CHECK(front.FractionOf(first) == doctest::Approx(0.75));
+
+  front.Run(seconds(2));
+  SUBCASE("by a query, at most once a second while it lacks the version") {
+    std::size_t before = front.CallCount();
+    front.Ask("b");
+    front.Run(milliseconds(100));
+    CHECK(front.CallCount() == before + 4);
+    before = front.CallCount();
+    front.Ask("c");
+    front.Run(milliseconds(100));
+    CHECK(front.CallCount() == before + 3);
+  }
+  SUBCASE("by a query, which is complete once it holds the version") {
+    behind = false;
+    const std::uint64_t second = front.Ask("b");
+    front.Run(milliseconds(600));
+    CHECK(front.VersionOf(second) == 8);
+    CHECK(front.FractionOf(second) == 1.0);
+  }
+  SUBCASE("by a non-repeatable request") {
+    behind = false;
+    const std::uint64_t executed = front.Execute(front.NewToken(), "b");
+    front.Run(milliseconds(600));
+    CHECK(front.AnswerOf(executed).status == 200);
+  }
+}
+
 TEST_CASE("a query moves as a whole when its version has gone") {
   SimFront front;
   std::uint64_t held = 8;  // what all leaves hold
