Add process cases for crashing queries and for version and map changes

crash-query: a fan-out query that crashes each leaf is sent once a second for 12 s beside 80 other requests/s. Bound stated before the first run: one fan-out of 20 leaves, 1 hedge (4 %), two single leaves, 23 in all.

version-change and map-change: leaves load three index versions in a row, or move to a map with a split shard, while queries run.

The load program knows a second map (--next-topology). Its check compared the fraction of coverage with the share of shards, which is wrong once shards differ in width; it now compares with the share of keys. The unit test of the check used shards of unequal width with a fraction of 0.5, so it asserted the wrong rule: it now has a shard of a quarter of the keys, and a case that a fraction by shards is found as misstated.

scripts/measure has the scenarios version-change and map-change.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -108,6 +108,50 @@
                     merged[kind][name] = merged[kind].get(name, 0) + count
         return merged
 
+    def replicas(self):
+        """Ids of the first leaves of all shards, then of the second ones, and so on."""
+        shards = [shard["leaves"] for service in self.document("topology")["services"] for shard in service["shards"]]
+        return [[leaves[place]["id"] for leaves in shards if place < len(leaves)]
+                for place in range(max(len(leaves) for leaves in shards))]
+
+    def advance(self, version, seconds):
+        """Loads an index version into leaf after leaf; each keeps its newest two. All first replicas go first."""
+        leaves = [leaf for group in self.replicas() for leaf in group]
+        begin = time.monotonic()
+        for number, leaf in enumerate(leaves):
+            time.sleep(max(0, begin + seconds * number / len(leaves) - time.monotonic()))
+            self.admin("advance", [leaf], version=version)
+
+    def split_map(self, service_name):
+        """The topology with the next map, in which two children of half its keys replace the service's first shard."""
+        topology = self.document("topology")
+        topology["generation"] += 1
+        topology["partition_map_version"] += 1
+        service = next(service for service in topology["services"] if service["name"] == service_name)
+        parent = service["shards"].pop(0)
+        middle = (parent["begin"] + (parent["end"] or 2**64)) // 2
+        service["shards"][:0] = [{**parent, "id": parent["id"] + "-0", "end": middle},
+                                 {**parent, "id": parent["id"] + "-1", "begin": middle}]
+        return topology
+
+    def adopt_map(self, topology, seconds):
+        """Moves the leaves to the map of a published topology: leaf after leaf, all first replicas first.
+
+        A leaf states one map only. Services without second replicas therefore change at once, at the end.
+        """
+        paired, single = [], []
+        for service in topology["services"]:
+            for shard in service["shards"]:
+                group = paired if len(shard["leaves"]) > 1 else single
+                group += [(place, leaf["id"]) for place, leaf in enumerate(shard["leaves"])]
+        # Children share the leaves of their parent, so a leaf may be listed twice.
+        leaves = list(dict.fromkeys(leaf for _, leaf in sorted(paired, key=lambda item: item[0])))
+        begin = time.monotonic()
+        for number, leaf in enumerate(leaves):
+            time.sleep(max(0, begin + seconds * number / len(leaves) - time.monotonic()))
+            self.admin("topology", [leaf], topology=topology)
+        self.admin("topology", [leaf for _, leaf in single], topology=topology)
+
     # ---- processes ----
 
     def spawn(self, name, *command):
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -25,6 +25,7 @@
     # Slower leaves, so that they and not the machine are the limit: about 370 requests/s in all.
     "overload": {"median_ms": 30},
     "cold-restart": {}, "upstream-drain": {}, "vm-loss": {}, "dc-out-and-back": {},
+    "version-change": {}, "map-change": {},
     "stragglers": {"straggler_share": 0.05, "straggler_factor": 8},
 }
 WARM_UP_S = 5
@@ -44,7 +45,7 @@
     deployment.publish("table", table)
 
 
-def act(deployment, scenario, seconds, begin, events):
+def act(deployment, scenario, seconds, begin, events, next_topology):
     """Performs the scenario's steps at their times while the load runs."""
     def at(share, text):
         time.sleep(max(0, begin + share * seconds - time.monotonic()))
@@ -79,6 +80,19 @@
         at(0.65, f"{centre} is taken in")
         deployment.admin("announce-out", deployment.leaves(centre), on=False)
         set_state(deployment, centre, "in")
+    elif scenario == "version-change":
+        newest = deployment.document("topology")["services"][0]["index_version"]
+        # Twice, because leaves keep two versions: the second change drops the one that fronts begin with.
+        at(0.2, "leaves load an index version one after the other")
+        deployment.advance(newest + 1, 0.25 * seconds)
+        at(0.5, "leaves load another one and drop the oldest")
+        deployment.advance(newest + 2, 0.25 * seconds)
+    elif scenario == "map-change":
+        at(0.1, "a map with a split shard is published")
+        deployment.publish("topology", next_topology)
+        at(0.4, "leaves adopt it one after the other")
+        deployment.adopt_map(next_topology, 0.3 * seconds)
+    events.append({"second": round(time.monotonic() - begin, 2), "event": "end of the steps"})
 
 
 def sum_of(records, key):
@@ -144,12 +158,19 @@
         deployment.load(arguments.rate / 2, WARM_UP_S, seed=arguments.seed + 1000,
                         execute_share=arguments.execute_share)
         before = deployment.records()
+        next_topology = None
+        next_file = deployment.folder / "next-topology.json"
+        if arguments.scenario == "map-change":
+            next_topology = deployment.split_map(deployment.document("topology")["services"][0]["name"])
+            next_file.write_text(json.dumps(next_topology))
         out = deployment.folder / "load.json"
         out.unlink(missing_ok=True)
         load = deployment.start_load(out, arguments.rate, arguments.seconds, seed=arguments.seed,
-                                     deadline_ms=arguments.deadline_ms, execute_share=arguments.execute_share)
+                                     deadline_ms=arguments.deadline_ms, execute_share=arguments.execute_share,
+                                     next_topology=next_file if next_topology else None)
         try:
-            act(deployment, arguments.scenario, arguments.seconds, time.monotonic(), events)
+            act(deployment, arguments.scenario, arguments.seconds, time.monotonic(), events,
+                next_topology)
             load.wait(arguments.seconds + 60)
         finally:
             if load.poll() is None:
--- a/standins/load_check.cc
+++ b/standins/load_check.cc
@@ -12,6 +12,12 @@
   return shard.range.begin + (width == 0 ? hash : hash % width);
 }
 
+// Number of keys in the range; 2^64 for all keys.
+double WidthOf(const KeyRange& range) {
+  const std::uint64_t width = range.end - range.begin;
+  return width == 0 ? std::ldexp(1.0, 64) : static_cast<double>(width);
+}
+
 std::string Text(const json::value& value) {
   return std::string(value.as_string());
 }
@@ -57,6 +63,7 @@
 
 void CheckCoverage(const json::object& coverage,
                    const std::map<std::string, std::size_t>& counts,
+                   const Service& service,
                    CheckResult& result) {
   const auto fail = [&result](const std::string& message) {
     if (result.coverage_misstated.empty()) {
@@ -95,11 +102,21 @@
     fail("coverage states " + std::to_string(states.size()) + " of " +
          std::to_string(result.shards) + " shards");
   }
-  // All shards have the same width, so the fraction of the key range is the fraction of shards.
-  const double whole = static_cast<double>(result.shards);
+  // Shards differ in width once one of them has been split.
+  double full_keys = 0;
+  double partial_keys = 0;
+  for (const Shard& shard : service.shards) {
+    const auto found = states.find(shard.id.value);
+    if (found == states.end()) {
+      continue;
+    }
+    full_keys += found->second == "full" ? WidthOf(shard.range) : 0;
+    partial_keys += found->second == "partial" ? WidthOf(shard.range) : 0;
+  }
+  const double all_keys = std::ldexp(1.0, 64);
   constexpr double kRounding = 0.001;
-  if (result.coverage < static_cast<double>(full) / whole - kRounding ||
-      result.coverage > static_cast<double>(full + partial) / whole + kRounding) {
+  if (result.coverage < full_keys / all_keys - kRounding ||
+      result.coverage > (full_keys + partial_keys) / all_keys + kRounding) {
     fail("fraction " + std::to_string(result.coverage) + " for " + std::to_string(full) +
          " full and " + std::to_string(partial) + " partial shards");
   }
@@ -134,7 +151,7 @@
     result.shards = published.shards.size();
     result.records = records.size();
     const auto counts = CountRecords(records, term, published, result);
-    CheckCoverage(answer.at("coverage").as_object(), counts, result);
+    CheckCoverage(answer.at("coverage").as_object(), counts, published, result);
   } catch (const std::exception& error) {
     result.wrong = std::string("malformed answer: ") + error.what();
   }
--- a/standins/load_check.h
+++ b/standins/load_check.h
@@ -25,6 +25,7 @@
 
 class AnswerCheck {
  public:
+  // Answers may be pinned to any map added, so a change of the map needs both.
   void AddTopology(const Topology& topology);
 
   CheckResult CheckQuery(const std::string& service,
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -23,10 +23,13 @@
   standin::LoadOptions load;
   standin::BalancerOptions balancing;
   std::string config;
+  std::string next_topology;
   std::string out;
   options::options_description description("ibishold-load");
   description.add_options()("config", options::value(&config)->required(),
                             "folder with topology.json and vms.json")(
+      "next-topology", options::value(&next_topology),
+      "file with a topology that is published during the load; none")(
       "rate", options::value(&load.rate), "requests/s, 50")(
       "seconds", options::value(&load.seconds), "10")("seed", options::value(&load.seed), "1")(
       "count", options::value(&load.count), "requests after which the load ends early")(
@@ -59,6 +62,13 @@
     boost::asio::io_context context(1);
     standin::AnswerCheck check;
     check.AddTopology(*topology);
+    if (!next_topology.empty()) {
+      const auto next = ibishold::ParseTopology(ReadFile(next_topology));
+      if (!next.ok()) {
+        throw std::runtime_error(next.status().ToString());
+      }
+      check.AddTopology(*next);
+    }
     standin::Balancer balancer(context, *vms, balancing);
     standin::LoadRun run(context, balancer, check, *topology, load);
     boost::asio::co_spawn(context, run.Run(),
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -5,10 +5,13 @@
 """
 import argparse
 import json
+import math
 import pathlib
 import signal
 import sys
 import time
+import urllib.error
+import urllib.request
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 from deployment import Deployment, call  # noqa: E402
@@ -41,7 +44,7 @@
     false_not_run = [i for i in report["not_run_operations"] if runs["operations"].get(i, 0)]
     false_not_run += [term for term in report["not_run_terms"] if runs["terms"].get(term, 0)]
     print(f"offered {report['offered']}, answered {report['answered']}, given up {report['given_up']}, "
-          f"coverage {report['coverage_mean']:.4f}, errors {report['errors']}")
+          f"coverage {report['coverage_mean']:.4f}, not full {report['not_full_reasons']}, errors {report['errors']}")
     for request in report["given_up_requests"][:3]:
         print(f"given up: {request}")
     expect(report["wrong_answers"] == 0, f"no wrong answer {report['mistakes'][:3]}")
@@ -138,8 +141,126 @@
     expect(report["coverage_mean"] > 0.999, "coverage stayed full")
 
 
+def ask(deployment, vm, service, query):
+    """Sends one query to the front of a VM; returns the HTTP status and the answer's JSON."""
+    # Without spaces, as the load program writes it: the fingerprint of a request is a hash of its bytes.
+    body = json.dumps({"query": query}, separators=(",", ":")).encode()
+    request = urllib.request.Request(f"http://{deployment.address(vm)}:8080/v1/services/{service}/query", data=body,
+                                     headers={"Content-Type": "application/json", "X-Deadline-Ms": "500",
+                                              "X-Tenant": "tenant-0", "X-Class": "interactive"})
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, json.loads(answer.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read())
+
+
+def crash_query(deployment):
+    """A query that crashes every leaf that runs it takes down the leaves of one fan-out and two more, not the service.
+
+    Without the quarantine each of its sendings costs the leaves of a whole fan-out; without its reports to peers each
+    front loses one.
+    """
+    fan_out = len(next(service for service in deployment.document("topology")["services"]
+                       if service["name"] == "design-find")["shards"])
+    # Stated before any run (design 5.5): one fan-out with its hedges, 4 % of 20 requests, then two single leaves.
+    bound = fan_out + math.ceil(0.04 * fan_out) + 2
+    out = deployment.folder / "crash-load.json"
+    out.unlink(missing_ok=True)
+    before = sum(leaf["crashes"] for leaf in deployment.records()["leaves"].values())
+    callers = []
+
+    def action():
+        callers.append(deployment.start_load(out, 20, 12, seed=2, execute_share=0, service="design-find",
+                                             crash_term="crash"))
+        callers[0].wait(12 + 60)
+    try:
+        report = under_load(deployment, 60, 16, action)
+    finally:
+        if callers and callers[0].poll() is None:
+            callers[0].kill()
+            callers[0].wait()
+    crashing = json.loads(out.read_text())
+    # The load program sends it as the first query of each second and does not repeat it.
+    sent = len(crashing["timeline"])
+    records = deployment.records()
+    crashes = sum(leaf["crashes"] for leaf in records["leaves"].values()) - before
+    print(f"sent {sent} times, ran {records['terms'].get('crash', 0)} times, {crashes} leaf crashes, bound {bound}; "
+          f"other requests of its caller: offered {crashing['offered'] - sent}, given up {crashing['given_up']}, "
+          f"errors {crashing['errors']}")
+    expect(sent >= 10, "the query was sent again and again")
+    expect(1 <= records["terms"].get("crash", 0) <= bound, f"the query ran at most {bound} times")
+    expect(1 <= crashes <= bound, f"at most {bound} leaves crashed")
+    cold = sum(leaf["cold_overload"] for leaf in records["leaves"].values())
+    expect(cold == 0, "no leaf that restarted got more than it can handle")
+    expect(crashing["wrong_answers"] == 0, f"no wrong answer beside the query {crashing['mistakes'][:3]}")
+    expect(crashing["coverage_misstated"] == 0, "no misstated coverage beside the query")
+    expect(answered_share(report) > 0.97, "requests to all services are answered")
+    expect(1 - crashing["given_up"] / (crashing["offered"] - sent) > 0.97, "the caller's other queries are answered")
+    expect(min(second["coverage"] for second in report["timeline"][12:15]) > 0.999, "coverage is full at the end")
+    refusals = [ask(deployment, vm, "design-find", {"term": "crash"}) for vm in deployment.vms()]
+    refused = [status == 503 and answer["error"] == "quarantined" and answer["verdict"] == "not_run" and
+               500_000 < answer["retry_after_ms"] <= 600_000 for status, answer in refusals]
+    expect(all(refused), f"every front refuses the query for the rest of 10 minutes {refusals[:1]}")
+    after = sum(leaf["crashes"] for leaf in deployment.records()["leaves"].values()) - before
+    expect(after == crashes, "a refused query crashes no leaf")
+
+
+def expect_snapshot(deployment, index_version, map_version):
+    """Every front answers every service completely from the newest snapshot, at the latest when asked again."""
+    services = [service["name"] for service in deployment.document("topology")["services"]]
+    waiting = [(vm, service) for vm in deployment.vms() for service in services]
+    wanted = {"index_version": index_version, "partition_map_version": map_version}
+    for _ in range(4):
+        behind = []
+        for vm, service in waiting:
+            status, answer = ask(deployment, vm, service, {"term": f"snapshot-{vm}"})
+            if status != 200 or answer["snapshot"] != wanted or answer["coverage"]["fraction"] != 1:
+                behind.append((vm, service, status, answer.get("snapshot"), answer.get("coverage", {}).get("fraction")))
+        waiting = [(vm, service) for vm, service, *_ in behind]
+        if not waiting:
+            break
+        time.sleep(1)
+    expect(not waiting, f"all fronts answer from index {index_version}, map {map_version} {behind[:3]}")
+
+
+def version_change(deployment):
+    """Queries that run while leaves change their index versions mix no versions and lose no coverage for good.
+
+    Three versions in a row, so that leaves drop the version to which fronts still pin queries.
+    """
+    first = deployment.document("topology")["services"][0]["index_version"]
+
+    def action():
+        for version in range(first + 1, first + 4):
+            deployment.advance(version, 3)
+    report = under_load(deployment, 80, 16, action)
+    print(f"coverage by second {[round(second['coverage'], 4) for second in report['timeline']]}")
+    expect(answered_share(report) > 0.97, "requests are answered during the change")
+    expect(min(second["coverage"] for second in report["timeline"][12:15]) > 0.999, "coverage is full after the change")
+    expect_snapshot(deployment, first + 3, 1)
+
+
+def map_change(deployment):
+    """A shard that is split while queries run is counted once: as the parent or as its children."""
+    topology = deployment.split_map("design-find")
+    file = deployment.folder / "next-topology.json"
+    file.write_text(json.dumps(topology))
+
+    def action():
+        deployment.publish("topology", topology)
+        time.sleep(6)  # accepted documents are in force everywhere
+        deployment.adopt_map(topology, 6)
+    report = under_load(deployment, 80, 22, action, next_topology=file)
+    print(f"coverage by second {[round(second['coverage'], 4) for second in report['timeline']]}")
+    expect(answered_share(report) > 0.97, "requests are answered during the change")
+    expect(min(second["coverage"] for second in report["timeline"][18:21]) > 0.999, "coverage is full after the change")
+    expect_snapshot(deployment, topology["services"][0]["index_version"], topology["partition_map_version"])
+
+
 CASES = {"front-kill": front_kill, "broker-kill": broker_kill, "broker-pause": broker_pause,
-         "silent-leaf": silent_leaf, "silent-platform": silent_platform, "rolling-stop": rolling_stop}
+         "silent-leaf": silent_leaf, "silent-platform": silent_platform, "rolling-stop": rolling_stop,
+         "crash-query": crash_query, "version-change": version_change, "map-change": map_change}
 
 
 def main():
--- a/tests/standins/load_check_test.cc
+++ b/tests/standins/load_check_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t kMiddle = 1000;
+constexpr std::uint64_t kMiddle = std::uint64_t{1} << 62;  // a quarter of all keys
 
 Topology TwoShards() {
   Topology topology;
@@ -88,7 +88,7 @@
   SUBCASE("partial answer stated truthfully") {
     records.pop_back();
     coverage["shards"].as_array()[1].as_object()["state"] = "missing";
-    coverage["fraction"] = 0.5;
+    coverage["fraction"] = 0.25;
     const CheckResult result = Check(answer);
     CHECK(result.wrong == "");
     CHECK(result.coverage_misstated == "");
@@ -98,6 +98,16 @@
     coverage["shards"].as_array()[1].as_object()["state"] = "missing";
     CHECK(Check(answer).coverage_misstated != "");
   }
+  SUBCASE("fraction of the shards instead of their keys") {
+    records.pop_back();
+    coverage["shards"].as_array()[1].as_object()["state"] = "missing";
+    coverage["fraction"] = 0.5;
+    CHECK(Check(answer).coverage_misstated != "");
+  }
+  SUBCASE("record of a shard of another map") {
+    records[1].as_object()["value"].as_object()["shard"] = "b-0";
+    CHECK(Check(answer).wrong != "");
+  }
   SUBCASE("coverage without one of the shards") {
     coverage["shards"].as_array().pop_back();
     CHECK(Check(answer).coverage_misstated != "");
