Open all listening sockets in one function

The caller server, the link server and the operators' server each opened their acceptor with the same eleven lines and the same error text. OpenListener in the net library now does it; caller and daemon depend on net for it.

Ruled out: a header private to src/net, since other libraries would then include it past the public header; the core library, which has no sockets.

Before: three copies, none tested for its error text.

Conclusion: no change of behaviour; the texts are the same.

--- a/include/ibishold/net.h
+++ b/include/ibishold/net.h
@@ -1,7 +1,7 @@
 #ifndef IBISHOLD_NET_H_
 #define IBISHOLD_NET_H_
 
-// Links between the system's own processes: Cap'n Proto messages framed on TCP.
+// Links between the system's own processes: Cap'n Proto messages framed on TCP; listening sockets.
 //
 // Index of this header:
 //   1. LinkOptions   limits of a link
@@ -9,6 +9,7 @@
 //   3. LinkServer    accepts links
 //   4. LinkPool      links to other processes by address, opened on demand and reopened with
 //   backoff
+//   5. OpenListener  opens the listening socket of any server of a daemon
 
 #include <capnp/message.h>
 
@@ -164,6 +165,14 @@
   std::unordered_map<std::string, Entry> entries;
 };
 
+// ---- 5. OpenListener ----------------------------------------------------------------------------
+
+// Binds the closed acceptor to a numeric IP address and port and listens. Port 0: a free port.
+// Errors: Unavailable with address, port and cause, if it is no address or cannot be bound.
+absl::Status OpenListener(boost::asio::ip::tcp::acceptor& acceptor,
+                          const std::string& address,
+                          std::uint16_t port);
+
 }  // namespace ibishold
 
 #endif  // IBISHOLD_NET_H_
--- a/src/adapters/caller/caller_server.cc
+++ b/src/adapters/caller/caller_server.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "adapters/caller/session.h"
 #include "ibishold/caller.h"
+#include "ibishold/net.h"
 
 namespace ibishold {
 
@@ -22,15 +22,9 @@
                                   AbandonHandler abandon_handler) {
   this->on_request = std::move(request_handler);
   this->on_abandon = std::move(abandon_handler);
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    return absl::UnavailableError(
-        absl::StrCat("listen on ", address, ":", port, ": ", error.what()));
+  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  if (!opened.ok()) {
+    return opened;
   }
   this->Accept();
   return absl::OkStatus();
--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -3,8 +3,8 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
-#include "absl/strings/str_cat.h"
 #include "ibishold/daemon.h"
+#include "ibishold/net.h"
 
 namespace ibishold {
 
@@ -75,15 +75,9 @@
 }
 
 absl::Status OperatorServer::Start(const std::string& address, std::uint16_t port) {
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    return absl::UnavailableError(
-        absl::StrCat("listen on ", address, ":", port, ": ", error.what()));
+  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  if (!opened.ok()) {
+    return opened;
   }
   this->Accept();
   this->thread = std::thread([this] { this->context.run(); });
--- a/src/net/link_server.cc
+++ b/src/net/link_server.cc
@@ -1,6 +1,5 @@
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "ibishold/net.h"
 
 namespace ibishold {
@@ -17,15 +16,9 @@
                                 FrameLink::CloseHandler close_handler) {
   this->on_frame = std::move(frame_handler);
   this->on_close = std::move(close_handler);
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    return absl::UnavailableError(
-        absl::StrCat("listen on ", address, ":", port, ": ", error.what()));
+  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  if (!opened.ok()) {
+    return opened;
   }
   this->Accept();
   return absl::OkStatus();
