Share the first checks of queries and non-repeatable requests

Both engines began Start with copies of the same checks (no topology, unknown service, deadline too near, admission) and each had its own copy of the function that answers a refused caller. request_checks.h now holds the checks and that function.

Ruled out: one function for all checks. Tokens are decided between the service and the deadline, and the limit of queries between the deadline and admission; a caller would see another error in another order. The order of the checks was compared by reading.

Conclusion: status, error, message and retry time of each refusal are unchanged.

--- a/src/front/execute_answer.cc
+++ b/src/front/execute_answer.cc
@@ -76,22 +76,4 @@
   this->waiters.erase(found);
 }
 
-void ExecuteEngine::Refuse(const CallerRequest& request,
-                           int status,
-                           std::string_view error,
-                           std::string_view message,
-                           Duration retry_after,
-                           const std::string& new_token) {
-  ++this->dispatcher.counters.refusals;
-  Reply reply{.request = request};
-  reply.request.body.clear();
-  reply.answer = {.ticket = request.ticket,
-                  .status = status,
-                  .verdict = Verdict::kNotRun,
-                  .body = RefusalBody(error, message, Verdict::kNotRun, retry_after),
-                  .retry_after = retry_after,
-                  .new_token = new_token};
-  this->dispatcher.Act(std::move(reply));
-}
-
 }  // namespace ibishold
--- a/src/front/execute_engine.cc
+++ b/src/front/execute_engine.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
+#include "front/request_checks.h"
 
 namespace ibishold {
 
@@ -29,38 +29,36 @@
       planner(dispatcher.tracker) {}
 
 void ExecuteEngine::Start(CallerRequest request, TimePoint now) {
-  const ControlViewPtr& view = this->dispatcher.view();
-  if (!view || !view->topology) {
-    this->Refuse(request, 503, "not_ready", "no topology has been received yet",
-                 std::chrono::milliseconds(500));
-    return;
-  }
-  if (view->topology->Find(request.service) == nullptr) {
-    this->Refuse(request, 404, "unknown_service",
-                 absl::StrCat("service ", request.service.value, " is not published"), Duration{});
+  if (RefusedBy(CheckService(this->dispatcher, request), this->dispatcher, request)) {
     return;
   }
   if (request.token.empty()) {
     const absl::StatusOr<Token> token = this->home.Issue(now);
     if (!token.ok()) {
-      this->Refuse(request, 503, "no_token", token.status().ToString(), std::chrono::seconds(1));
+      Refuse(this->dispatcher, request,
+             {.status = 503,
+              .error = "no_token",
+              .message = token.status().ToString(),
+              .retry_after = std::chrono::seconds(1)});
       return;
     }
-    this->Refuse(request, 428, "token_required",
-                 "send the request again with the Idempotency-Key of this answer", Duration{},
-                 ToText(*token));
+    Refuse(this->dispatcher, request,
+           {.status = 428,
+            .error = "token_required",
+            .message = "send the request again with the Idempotency-Key of this answer",
+            .new_token = ToText(*token)});
     return;
   }
   const absl::StatusOr<Token> token = ParseToken(request.token);
   if (!token.ok()) {
-    this->Refuse(request, 400, "bad_token", token.status().ToString(), Duration{});
+    Refuse(this->dispatcher, request,
+           {.status = 400, .error = "bad_token", .message = token.status().ToString()});
     return;
   }
-  if (request.deadline - now < this->options.minimum_deadline) {
-    this->Refuse(request, 504, "deadline", "the deadline is too near to start", Duration{});
+  if (RefusedBy(CheckDeadline(this->options, request, now), this->dispatcher, request)) {
     return;
   }
-  if (!this->Admit(request, now)) {
+  if (RefusedBy(CheckAdmission(this->dispatcher, request, now), this->dispatcher, request)) {
     return;
   }
   const std::uint64_t id = this->dispatcher.NextId();
@@ -156,18 +154,6 @@
   }
 }
 
-bool ExecuteEngine::Admit(const CallerRequest& request, TimePoint now) {
-  const AdmissionResult admitted =
-      this->dispatcher.admission.Admit(request.service, request.tenant, request.request_class,
-                                       this->dispatcher.LimitsOf(request.service), now);
-  if (!admitted.admitted) {
-    const bool rate = admitted.refusal == Refusal::kRate;
-    this->Refuse(request, rate ? 429 : 503, NameOf(kRefusalNames, admitted.refusal),
-                 "refused by admission; nothing was sent", admitted.retry_after);
-  }
-  return admitted.admitted;
-}
-
 void ExecuteEngine::OnForwardedResult(std::uint64_t forward,
                                       const TokenResult& result,
                                       TimePoint now) {
--- a/src/front/execute_engine.h
+++ b/src/front/execute_engine.h
@@ -75,14 +75,7 @@
   void Finish(Execution& execution, const TokenResult& result, TimePoint now);
   void Answer(std::uint64_t waiter, const TokenResult& result, TimePoint now);
   void Release(std::uint64_t waiter, TimePoint now);
-  bool Admit(const CallerRequest& request, TimePoint now);
   void SendLateResults(TimePoint now);
-  void Refuse(const CallerRequest& request,
-              int status,
-              std::string_view error,
-              std::string_view message,
-              Duration retry_after,
-              const std::string& new_token = "");
 
   FrontOptions options;
   Dispatcher& dispatcher;
--- a/src/front/query_answer.cc
+++ b/src/front/query_answer.cc
@@ -8,22 +8,6 @@
 
 namespace json = boost::json;
 
-void QueryEngine::Refuse(const CallerRequest& request,
-                         int status,
-                         std::string_view error,
-                         std::string_view message,
-                         Duration retry_after) {
-  ++this->dispatcher.counters.refusals;
-  Reply reply{.request = request};
-  reply.request.body.clear();
-  reply.answer = {.ticket = request.ticket,
-                  .status = status,
-                  .verdict = Verdict::kNotRun,
-                  .body = RefusalBody(error, message, Verdict::kNotRun, retry_after),
-                  .retry_after = retry_after};
-  this->dispatcher.Act(std::move(reply));
-}
-
 void QueryEngine::Finish(Query& query, TimePoint now) {
   for (std::size_t shard = 0; shard < query.shards.size(); ++shard) {
     const ShardRun& run = query.shards[shard];
--- a/src/front/query_engine.cc
+++ b/src/front/query_engine.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
+#include "front/request_checks.h"
 
 namespace ibishold {
 
@@ -55,33 +55,21 @@
       quarantine(options.quarantine) {}
 
 void QueryEngine::Start(CallerRequest request, TimePoint now) {
-  const ControlViewPtr& view = this->dispatcher.view();
-  if (!view || !view->topology) {
-    this->Refuse(request, 503, "not_ready", "no topology has been received yet",
-                 std::chrono::milliseconds(500));
+  if (RefusedBy(CheckService(this->dispatcher, request), this->dispatcher, request)) {
     return;
   }
-  if (view->topology->Find(request.service) == nullptr) {
-    this->Refuse(request, 404, "unknown_service",
-                 absl::StrCat("service ", request.service.value, " is not published"), Duration{});
-    return;
-  }
-  if (request.deadline - now < this->options.minimum_deadline) {
-    this->Refuse(request, 504, "deadline", "the deadline is too near to start", Duration{});
+  if (RefusedBy(CheckDeadline(this->options, request, now), this->dispatcher, request)) {
     return;
   }
   if (this->queries.size() >= this->options.request_limit) {
-    this->Refuse(request, 503, "overload", "too many requests in progress",
-                 std::chrono::milliseconds(200));
+    Refuse(this->dispatcher, request,
+           {.status = 503,
+            .error = "overload",
+            .message = "too many requests in progress",
+            .retry_after = std::chrono::milliseconds(200)});
     return;
   }
-  const AdmissionResult admitted =
-      this->dispatcher.admission.Admit(request.service, request.tenant, request.request_class,
-                                       this->dispatcher.LimitsOf(request.service), now);
-  if (!admitted.admitted) {
-    const bool rate = admitted.refusal == Refusal::kRate;
-    this->Refuse(request, rate ? 429 : 503, NameOf(kRefusalNames, admitted.refusal),
-                 "refused by admission; nothing was sent", admitted.retry_after);
+  if (RefusedBy(CheckAdmission(this->dispatcher, request, now), this->dispatcher, request)) {
     return;
   }
   std::optional<PinnedSnapshot> pinned = this->dispatcher.tracker.Select(
--- a/src/front/query_engine.h
+++ b/src/front/query_engine.h
@@ -89,11 +89,6 @@
   void FinishIfDone(Query& query, TimePoint now);
   void Finish(Query& query, TimePoint now);
   std::string AnswerBody(Query& query);
-  void Refuse(const CallerRequest& request,
-              int status,
-              std::string_view error,
-              std::string_view message,
-              Duration retry_after);
   void RefuseFinished(Query& query, TimePoint now);
   void Release(Query& query, TimePoint now);
 
--- a/src/front/query_quarantine.cc
+++ b/src/front/query_quarantine.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "front/query_engine.h"
+#include "front/request_checks.h"
 
 namespace ibishold {
 
@@ -9,9 +10,11 @@
       this->quarantine.Decide(query.header.fingerprint, fan_out, now);
   if (decision.action == QuarantineAction::kRefuse) {
     ++this->dispatcher.counters.quarantined;
-    this->Refuse(query.request, 503, "quarantined",
-                 "the request is suspected of crashing leaves; nothing was sent",
-                 decision.retry_after);
+    Refuse(this->dispatcher, query.request,
+           {.status = 503,
+            .error = "quarantined",
+            .message = "the request is suspected of crashing leaves; nothing was sent",
+            .retry_after = decision.retry_after});
     this->Release(query, now);
     return false;
   }
