--- a/bench/control/control_slopes.cc
+++ b/bench/control/control_slopes.cc
@@ -98,20 +98,20 @@
                    .build_views = true});
   std::uint64_t topology = 2;
   std::uint64_t table = 2;
-  fleet.Publish("topology", topology, Topology(fleet, topology));
+  fleet.platform.Publish("topology", topology, Topology(fleet, topology));
   const std::size_t topology_bytes = Topology(fleet, topology).size();
-  fleet.Publish("table", table, TableText(centres.size(), table));
+  fleet.platform.Publish("table", table, TableText(centres.size(), table));
   const std::size_t table_bytes = TableText(centres.size(), table).size();
   fleet.StartAll();
   fleet.RunFor(seconds(30));
   const std::uint64_t memory_after = ResidentBytes();
-  const std::uint64_t peak_start = fleet.PeakCallsPerSecond();
+  const std::uint64_t peak_start = fleet.platform.PeakCallsPerSecond();
   fleet.ResetCounters();
   double worst_ms = 0;
   for (int minute = 0; minute < minutes; ++minute) {
     for (int change = 0; change < 3; ++change) {
       ++table;
-      fleet.Publish("table", table, TableText(centres.size(), table));
+      fleet.platform.Publish("table", table, TableText(centres.size(), table));
       const TimePoint end = fleet.now + seconds(20);
       const Duration took = fleet.RunUntilTrue([&] { return fleet.AllHave("table", table); },
                                                seconds(15), std::chrono::milliseconds(20));
@@ -121,7 +121,7 @@
       }
       if (change == 1 && minute % 5 == 0) {
         ++topology;
-        fleet.Publish("topology", topology, Topology(fleet, topology));
+        fleet.platform.Publish("topology", topology, Topology(fleet, topology));
       }
       fleet.RunUntil(end);
     }
@@ -152,8 +152,8 @@
           {"datagrams_sent_per_vm_per_s", datagrams / count / span},
           {"memory_bytes_per_vm",
            static_cast<double>(memory_after - std::min(memory_before, memory_after)) / count},
-          {"platform_calls_per_s", static_cast<double>(fleet.platform_calls) / span},
-          {"platform_calls_per_s_peak", fleet.PeakCallsPerSecond()},
+          {"platform_calls_per_s", static_cast<double>(fleet.platform.calls) / span},
+          {"platform_calls_per_s_peak", fleet.platform.PeakCallsPerSecond()},
           {"platform_calls_per_s_peak_at_start", peak_start},
           {"table_in_force_worst_ms", worst_ms},
           {"topology_bytes", topology_bytes},
--- a/include/ibishold/membership.h
+++ b/include/ibishold/membership.h
@@ -8,24 +8,14 @@
 //   1. HeartbeatMessage     what VMs tell each other
 //   2. MembershipAction     what the caller must do
 //   3. MembershipOptions    intervals and limits
-//   4. TokenBucket          bound on platform calls of one VM
-//   5. MonitorsOf           monitors of a VM, watchers of a data centre
-//   6. VmTable              published list merged with the peers' facts
-//   7. FactQueue            facts that heartbeats still have to carry
-//   8. HoldClock            how long this VM may hold slots
-//   9. SilenceDetector      VMs that their monitors do not hear
-//  10. DocumentExchange     fetching from peers what they have newer
-//  11. PlatformSchedule     watches, polls and reads of the platform
-//  12. Membership           all of it for one VM
+//   4. Membership           all decisions of one VM
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -142,260 +132,19 @@
   std::size_t successor_limit = 4096;
 };
 
-// ---- 4. TokenBucket -----------------------------------------------------------------------------
+// ---- 4. Membership ------------------------------------------------------------------------------
 
-class TokenBucket {
- public:
-  TokenBucket(double rate, double capacity, double initial)
-      : rate(rate), capacity(capacity), tokens(initial) {}
-
-  bool Take(TimePoint now);
-  TimePoint NextAt(TimePoint now);  // when Take succeeds
-
- private:
-  void Refill(TimePoint now);
-
-  double rate;      // tokens per second
-  double capacity;  // tokens
-  double tokens;
-  std::optional<TimePoint> filled_at;
-};
-
-// ---- 5. MonitorsOf ------------------------------------------------------------------------------
-
-// The VMs with the highest rendezvous scores for this VM among those of its data centre that are
-// published as live, without itself. Depends on the published list only, never on reports of
-// peers: if loss reports shrank the set, both sides of a partition would run out of monitors and
-// hold the same slots.
-std::vector<VmId> MonitorsOf(const VmId& vm,
-                             const DataCentre& data_centre,
-                             const VmList& published,
-                             std::size_t count);
-
-// Whether this VM is one of the `count` VMs of its data centre that keep watches.
-bool IsWatcher(const VmId& vm,
-               const DataCentre& data_centre,
-               const VmList& merged,
-               std::size_t count);
-
-// ---- 6. VmTable ---------------------------------------------------------------------------------
-
-class VmTable {
- public:
-  // Returns true if the merged list changed.
-  bool SetPublished(std::shared_ptr<const VmList> list);
-  bool Apply(const VmFact& fact);
-
-  VmFact FactOf(const VmId& vm) const;  // incarnation 0 if nothing is known
-  const VmEntry* Published(const VmId& vm) const;
-  const std::shared_ptr<const VmList>& published() const { return this->published_list; }
-  std::shared_ptr<const VmList> Merged();  // null until a list is published
-  std::set<VmId> Lost();
-
- private:
-  std::shared_ptr<const VmList> published_list;
-  std::shared_ptr<const VmList> merged;  // null: to be rebuilt
-  std::unordered_map<std::string, std::size_t> places;
-  std::unordered_map<std::string, VmFact> facts;
-};
-
-// ---- 7. FactQueue -------------------------------------------------------------------------------
-
-class FactQueue {
- public:
-  void Add(const VmFact& fact, std::size_t fleet);  // replaces an older fact about the VM
-  std::vector<VmFact> Take(std::size_t count);      // least often sent first
-  bool empty() const { return this->entries.empty(); }
-
- private:
-  struct Entry {
-    VmFact fact;
-    std::uint32_t sends_left = 0;
-  };
-  std::vector<Entry> entries;
-};
-
-// ---- 8. HoldClock -------------------------------------------------------------------------------
-
-// A VM may hold slots for acknowledgement_limit after the moment at which it SENT a heartbeat that
-// at least half (rounded up) of its monitors acknowledged. Counting from the sending makes late
-// acknowledgements, as found in a socket after a pause, harmless.
-class HoldClock {
- public:
-  explicit HoldClock(Duration limit) : limit(limit) {}
-
-  void SetMonitors(std::vector<VmId> list);
-  void Sent(std::uint64_t sequence, TimePoint now);
-  void Acknowledged(const VmId& monitor, std::uint64_t sequence);
-  void Reset();  // forgets all acknowledgements and sent heartbeats
-
-  TimePoint HoldUntil() const;  // TimePoint::max() without monitors
-  const std::vector<VmId>& monitors() const { return this->monitor_list; }
-
- private:
-  Duration limit;
-  std::vector<VmId> monitor_list;
-  std::vector<TimePoint> acknowledged;  // sending time, by monitor; TimePoint::min(): never
-  std::deque<std::pair<std::uint64_t, TimePoint>> sent;
-};
-
-// ---- 9. SilenceDetector -------------------------------------------------------------------------
-
-class SilenceDetector {
- public:
-  SilenceDetector(VmId self, Duration loss_limit, Duration report_limit)
-      : self(std::move(self)), loss_limit(loss_limit), report_limit(report_limit) {}
-
-  // Computes whom this VM monitors, and the other monitors of these.
-  void SetPublished(const VmList& list, std::size_t monitors, TimePoint now);
-  void Heard(const VmId& vm, TimePoint now);
-  // This VM was paused: silence counts from now on again.
-  void Resume(TimePoint now);
-
-  struct Silent {
-    VmId vm;
-    std::vector<VmId> monitors;  // all monitors of the VM
-  };
-  std::vector<Silent> SilentVms(TimePoint now) const;
-
-  // Notes the report of a monitor, or of this VM itself. True if more than half of the monitors of
-  // the VM report this incarnation silent.
-  bool Report(const VmId& reporter, const SilentVm& report, TimePoint now);
-
-  // False for ever once this VM has reported that run silent: its report may have made others
-  // declare the run lost without this VM hearing of it, and an acknowledgement would let the run
-  // hold slots that have a new owner. The run must return with a new incarnation.
-  bool MayAcknowledge(const VmId& vm, Incarnation incarnation) const;
-
- private:
-  struct Watched {
-    TimePoint heard_at{};
-    std::vector<VmId> monitors;
-    std::map<VmId, std::pair<Incarnation, TimePoint>> reports;
-    std::optional<Incarnation> own_report;  // run that this VM reported last
-  };
-
-  VmId self;
-  Duration loss_limit;
-  Duration report_limit;
-  std::map<std::string, Watched> watched;
-};
-
-// ---- 10. DocumentExchange -----------------------------------------------------------------------
-
-// At most one fetch a key, and a second one if a peer shows a newer text meanwhile.
-class DocumentExchange {
- public:
-  explicit DocumentExchange(Duration fetch_limit) : fetch_limit(fetch_limit) {}
-
-  // A peer at this address has these documents.
-  void Offered(const std::string& address,
-               const std::vector<Digest>& digests,
-               const ConfigStore& store,
-               TimePoint now,
-               MembershipActions& actions);
-  // Asks a peer that may have any text of this key.
-  void Ask(const std::string& address,
-           const std::string& key,
-           TimePoint now,
-           MembershipActions& actions);
-  bool Pending(const std::string& key) const;
-  // The fetch ended, well or not; tries the next peer that offered a newer text.
-  void Ended(std::uint64_t call,
-             const ConfigStore& store,
-             TimePoint now,
-             MembershipActions& actions);
-  void Expire(const ConfigStore& store, TimePoint now, MembershipActions& actions);
-  TimePoint NextWake() const;
-
- private:
-  struct Fetch {
-    std::uint64_t call = 0;
-    Digest digest;  // generation 0: whatever the peer has
-    TimePoint deadline{};
-  };
-  struct Offer {
-    std::string address;
-    Digest digest;
-  };
-  struct Key {
-    std::vector<Fetch> fetches;
-    std::deque<Offer> offers;  // newest last
-  };
-
-  void Begin(Key& key,
-             const std::string& address,
-             const Digest& digest,
-             TimePoint now,
-             MembershipActions& actions);
-  void Next(Key& key, const ConfigStore& store, TimePoint now, MembershipActions& actions);
-
-  Duration fetch_limit;
-  std::uint64_t last_call = 0;
-  std::map<std::string, Key> keys;
-};
-
-// ---- 11. PlatformSchedule -----------------------------------------------------------------------
-
-// A VM without documents reads when told to. A watcher keeps one watch a key, each with its own
-// deadline, and reads the keys periodically beside them. All others poll.
-class PlatformSchedule {
- public:
-  PlatformSchedule(const MembershipOptions& options, Random& random);
-
-  void SetRole(bool watcher, std::size_t fleet, TimePoint now);
-  void RequestRead(const std::string& key, TimePoint now);  // plain read as soon as allowed
-  bool Reading(const std::string& key) const;               // a read is requested or running
-  void Plan(const ConfigStore& store, TimePoint now, MembershipActions& actions);
-  // The key of the call; empty if the call has ended by its deadline before.
-  std::string Ended(std::uint64_t call,
-                    const absl::StatusOr<PlatformAnswer>& answer,
-                    TimePoint now);
-  TimePoint NextWake(TimePoint now);
-  std::uint64_t calls() const { return this->last_call; }
-  bool watcher() const { return this->is_watcher; }
-
- private:
-  struct Call {
-    std::uint64_t id = 0;  // 0: none
-    TimePoint deadline{};
-  };
-  struct Key {
-    std::string name;
-    Call watch;
-    Call read;
-    TimePoint watch_at{};
-    Duration watch_backoff{};
-    TimePoint read_at = TimePoint::max();
-    TimePoint full_read_at = TimePoint::max();
-    bool full_read = false;
-    // Generation of the last value served. Above the one in force if that value was refused or
-    // states another generation in its text; asking from here on keeps it from being sent again
-    // with every call.
-    std::uint64_t served = 0;
-    TimePoint recheck_at{};
-  };
-
-  void WatchFailed(Key& key, TimePoint now);
-  TimePoint NextRead(const Key& key, TimePoint now);
-  Duration ReadInterval(const Key& key) const;
-  Duration FullReadInterval(const Key& key) const;
-
-  const MembershipOptions& options;
-  Random& random;
-  TokenBucket bucket;
-  std::vector<Key> keys;
-  bool is_watcher = false;
-  bool has_role = false;
-  Duration poll_interval{};
-  std::uint64_t last_call = 0;
-};
-
-// ---- 12. Membership -----------------------------------------------------------------------------
+class DocumentExchange;
+class FactQueue;
+class HoldClock;
+class PlatformSchedule;
+class SilenceDetector;
+class VmTable;
 
 class Membership {
  public:
   explicit Membership(MembershipOptions options);
+  ~Membership();
   Membership(const Membership&) = delete;
   Membership& operator=(const Membership&) = delete;
 
@@ -431,7 +180,6 @@
 
   TimePoint HoldUntil() const;  // leaf work may start while the time is below
   const ConfigStore& store() const { return this->documents; }
-  const PlatformSchedule& platform() const { return this->schedule; }
   Incarnation incarnation() const { return this->own_incarnation; }
   bool ready(TimePoint now) const;
 
@@ -462,12 +210,12 @@
   Random random;
   Incarnation own_incarnation;
   ConfigStore documents;
-  VmTable table;
-  FactQueue facts;
-  HoldClock hold;
-  SilenceDetector silence;
-  DocumentExchange exchange;
-  PlatformSchedule schedule;
+  std::unique_ptr<VmTable> table;
+  std::unique_ptr<FactQueue> facts;
+  std::unique_ptr<HoldClock> hold;
+  std::unique_ptr<SilenceDetector> silence;
+  std::unique_ptr<DocumentExchange> exchange;
+  std::unique_ptr<PlatformSchedule> schedule;
   std::map<std::string, Missing> missing;
   std::map<TokenHomeRun, TokenSuccessor> successors;
   std::deque<std::pair<TokenHomeRun, std::uint32_t>> fresh_successors;  // with sends left
--- a/src/membership/document_exchange.cc
+++ b/src/membership/document_exchange.cc
@@ -1,6 +1,6 @@
-#include <algorithm>
+#include "membership/document_exchange.h"
 
-#include "ibishold/membership.h"
+#include <algorithm>
 
 namespace ibishold {
 
--- a/src/membership/fact_queue.cc
+++ b/src/membership/fact_queue.cc
@@ -1,8 +1,8 @@
+#include "membership/fact_queue.h"
+
 #include <algorithm>
 #include <bit>
 
-#include "ibishold/membership.h"
-
 namespace ibishold {
 
 void FactQueue::Add(const VmFact& fact, std::size_t fleet) {
--- a/src/membership/heartbeats.cc
+++ b/src/membership/heartbeats.cc
@@ -1,7 +1,15 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "ibishold/membership.h"
+#include "membership/document_exchange.h"
+#include "membership/fact_queue.h"
+#include "membership/hold_clock.h"
+#include "membership/monitors.h"
+#include "membership/platform_schedule.h"
+#include "membership/silence_detector.h"
+#include "membership/vm_table.h"
 
 namespace ibishold {
 
@@ -21,12 +29,12 @@
     this->ApplySelfFact({message.vm, message.incarnation, message.state}, now);
     return;
   }
-  const VmFact known = this->table.FactOf(message.vm);
+  const VmFact known = this->table->FactOf(message.vm);
   const bool outdated = message.incarnation < known.incarnation;
   const bool lost = message.incarnation == known.incarnation && known.state == VmState::kLost;
   if (!outdated) {
     if (!lost) {
-      this->silence.Heard(message.vm, now);
+      this->silence->Heard(message.vm, now);
     }
     this->ApplyFact({message.vm, message.incarnation, message.state}, now);
   }
@@ -42,7 +50,7 @@
     // An acknowledgement that calls this run lost has just made the hold clock forget the
     // heartbeat.
     if (!outdated) {
-      this->hold.Acknowledged(message.vm, message.sequence);
+      this->hold->Acknowledged(message.vm, message.sequence);
     }
   } else {
     for (const SilentVm& report : message.silent) {
@@ -52,7 +60,7 @@
   for (const auto& [home, successor] : message.successors) {
     this->AddSuccessor(home, successor, now);
   }
-  this->exchange.Offered(address, message.digests, this->documents, now, actions);
+  this->exchange->Offered(address, message.digests, this->documents, now, actions);
   if (message.acknowledgement) {
     return;
   }
@@ -60,7 +68,7 @@
   if (message.sequence == 0 && !differ && !lost && !outdated) {
     return;
   }
-  const bool counts = this->silence.MayAcknowledge(message.vm, message.incarnation);
+  const bool counts = this->silence->MayAcknowledge(message.vm, message.incarnation);
   HeartbeatMessage answer = this->Message(true, counts ? message.sequence : 0, differ);
   if (lost || outdated) {
     answer.facts.insert(answer.facts.begin(), known);
@@ -73,22 +81,23 @@
 }
 
 void Membership::ApplyFact(const VmFact& fact, TimePoint now) {
-  const VmFact before = this->table.FactOf(fact.vm);
-  if (!this->table.Apply(fact)) {
+  const VmFact before = this->table->FactOf(fact.vm);
+  if (!this->table->Apply(fact)) {
     return;
   }
-  const VmFact after = this->table.FactOf(fact.vm);
+  const VmFact after = this->table->FactOf(fact.vm);
   const bool bad_news = after.state > before.state || after.state == VmState::kLost;
   const bool good_news = after.state < before.state;
   if (bad_news || good_news || fact.vm == this->options.vm) {
-    this->facts.Add(fact, this->documents.vms() ? this->documents.vms()->vms.size() : 1);
+    this->facts->Add(fact, this->documents.vms() ? this->documents.vms()->vms.size() : 1);
     this->RequestPush(now);
   }
   this->changed = true;
   if ((bad_news || good_news) && this->documents.vms()) {
-    this->schedule.SetRole(IsWatcher(this->options.vm, this->options.data_centre,
-                                     *this->table.Merged(), this->options.watchers_per_data_centre),
-                           this->documents.vms()->vms.size(), now);
+    this->schedule->SetRole(
+        IsWatcher(this->options.vm, this->options.data_centre, *this->table->Merged(),
+                  this->options.watchers_per_data_centre),
+        this->documents.vms()->vms.size(), now);
   }
 }
 
@@ -104,16 +113,16 @@
   }
   // Others may use this run's slots by now. It gives them up and returns with a new incarnation.
   this->self_lost = true;
-  this->hold.Reset();
+  this->hold->Reset();
   this->ApplyFact(fact, now);
 }
 
 void Membership::ApplyReport(const VmId& reporter, const SilentVm& report, TimePoint now) {
-  const VmFact known = this->table.FactOf(report.vm);
+  const VmFact known = this->table->FactOf(report.vm);
   if (report.incarnation != known.incarnation || known.state == VmState::kLost) {
     return;
   }
-  if (this->silence.Report(reporter, report, now)) {
+  if (this->silence->Report(reporter, report, now)) {
     this->ApplyFact({report.vm, report.incarnation, VmState::kLost}, now);
   }
 }
@@ -128,9 +137,9 @@
     return;
   }
   ++this->sequence;
-  this->hold.Sent(this->sequence, now);
-  for (const VmId& monitor : this->hold.monitors()) {
-    if (const VmEntry* entry = this->table.Published(monitor)) {
+  this->hold->Sent(this->sequence, now);
+  for (const VmId& monitor : this->hold->monitors()) {
+    if (const VmEntry* entry = this->table->Published(monitor)) {
       actions.push_back(SendDatagram{entry->address, this->Message(false, this->sequence, true)});
     }
   }
@@ -140,15 +149,15 @@
 }
 
 void Membership::SendReports(TimePoint now, MembershipActions& actions) {
-  for (const SilenceDetector::Silent& silent : this->silence.SilentVms(now)) {
-    const VmFact known = this->table.FactOf(silent.vm);
+  for (const SilenceDetector::Silent& silent : this->silence->SilentVms(now)) {
+    const VmFact known = this->table->FactOf(silent.vm);
     if (known.state == VmState::kLost) {
       continue;
     }
     const SilentVm report{silent.vm, known.incarnation};
     this->ApplyReport(this->options.vm, report, now);
     for (const VmId& monitor : silent.monitors) {
-      const VmEntry* entry = this->table.Published(monitor);
+      const VmEntry* entry = this->table->Published(monitor);
       if (monitor == this->options.vm || entry == nullptr) {
         continue;
       }
@@ -185,7 +194,7 @@
   if (with_digests) {
     message.digests = this->documents.digests();
   }
-  message.facts = this->facts.Take(this->options.facts_per_heartbeat);
+  message.facts = this->facts->Take(this->options.facts_per_heartbeat);
   while (!this->fresh_successors.empty() &&
          message.successors.size() + 1 < kSuccessorsPerHeartbeat) {
     auto [home, left] = this->fresh_successors.front();
@@ -213,7 +222,7 @@
 }
 
 const VmEntry* Membership::RandomPeer(bool elsewhere) {
-  const std::shared_ptr<const VmList> list = this->table.Merged();
+  const std::shared_ptr<const VmList> list = this->table->Merged();
   if (!list || list->vms.empty()) {
     return nullptr;
   }
@@ -228,7 +237,7 @@
     if (entry.state == VmState::kLost && !elsewhere) {
       continue;
     }
-    return this->table.Published(entry.id);
+    return this->table->Published(entry.id);
   }
   return nullptr;
 }
--- a/src/membership/hold_clock.cc
+++ b/src/membership/hold_clock.cc
@@ -1,9 +1,9 @@
+#include "membership/hold_clock.h"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
 
-#include "ibishold/membership.h"
-
 namespace ibishold {
 
 namespace {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -3,22 +3,36 @@
 #include <algorithm>
 #include <utility>
 
+#include "membership/document_exchange.h"
+#include "membership/fact_queue.h"
+#include "membership/hold_clock.h"
+#include "membership/monitors.h"
+#include "membership/platform_schedule.h"
+#include "membership/silence_detector.h"
+#include "membership/vm_table.h"
+
 namespace ibishold {
 
 Membership::Membership(MembershipOptions given)
     : options(std::move(given)),
       random(this->options.seed),
       own_incarnation(this->options.incarnation),
-      hold(this->options.acknowledgement_limit),
+      table(std::make_unique<VmTable>()),
+      facts(std::make_unique<FactQueue>()),
+      hold(std::make_unique<HoldClock>(this->options.acknowledgement_limit)),
       // A report is repeated with every heartbeat; it counts for a few of them.
-      silence(this->options.vm, this->options.loss_limit, this->options.heartbeat_interval * 5),
-      exchange(this->options.fetch_limit),
-      schedule(this->options, this->random) {
+      silence(std::make_unique<SilenceDetector>(this->options.vm,
+                                                this->options.loss_limit,
+                                                this->options.heartbeat_interval * 5)),
+      exchange(std::make_unique<DocumentExchange>(this->options.fetch_limit)),
+      schedule(std::make_unique<PlatformSchedule>(this->options, this->random)) {
   for (const std::string_view key : {kVmsKey, kTableKey, kTopologyKey}) {
     this->missing.emplace(key, Missing{});
   }
 }
 
+Membership::~Membership() = default;
+
 void Membership::Start(TimePoint now, MembershipActions& actions) {
   this->started_at = now;
   this->ticked_at = now;
@@ -35,12 +49,12 @@
 
 void Membership::Tick(TimePoint now, MembershipActions& actions) {
   if (now - this->ticked_at > this->options.gap_limit) {
-    this->silence.Resume(now);
+    this->silence->Resume(now);
   }
   this->ticked_at = now;
-  this->exchange.Expire(this->documents, now, actions);
+  this->exchange->Expire(this->documents, now, actions);
   this->Bootstrap(now, actions);
-  this->schedule.Plan(this->documents, now, actions);
+  this->schedule->Plan(this->documents, now, actions);
   if (this->push_at <= now) {
     this->Push(actions);
   }
@@ -53,10 +67,10 @@
 }
 
 TimePoint Membership::NextWake(TimePoint now) {
-  TimePoint next = std::min(
-      {this->heartbeat_at, this->push_at, this->exchange.NextWake(), this->schedule.NextWake(now)});
+  TimePoint next = std::min({this->heartbeat_at, this->push_at, this->exchange->NextWake(),
+                             this->schedule->NextWake(now)});
   for (const auto& [key, state] : this->missing) {
-    if (!this->exchange.Pending(key) && !this->schedule.Reading(key) && !state.absent) {
+    if (!this->exchange->Pending(key) && !this->schedule->Reading(key) && !state.absent) {
       next = std::min(next, state.ask_at);
     }
   }
@@ -68,7 +82,7 @@
                             TimePoint now,
                             MembershipActions& actions) {
   const bool absent = absl::IsNotFound(answer.status());
-  const std::string key = this->schedule.Ended(call, answer, now);
+  const std::string key = this->schedule->Ended(call, answer, now);
   if (key.empty()) {
     return;
   }
@@ -84,7 +98,7 @@
     this->Accept({{key, answer->generation, 0}, *std::move(answer->text)}, now);
   }
   this->Bootstrap(now, actions);
-  this->schedule.Plan(this->documents, now, actions);
+  this->schedule->Plan(this->documents, now, actions);
 }
 
 void Membership::OnDocument(std::uint64_t call,
@@ -94,7 +108,7 @@
   if (document.ok() && document->has_value()) {
     this->Accept(*std::move(*document), now);
   }
-  this->exchange.Ended(call, this->documents, now, actions);
+  this->exchange->Ended(call, this->documents, now, actions);
   this->Bootstrap(now, actions);
 }
 
@@ -141,8 +155,8 @@
   ControlView view;
   view.topology = this->documents.topology();
   view.table = this->documents.table();
-  view.vms = this->table.Merged();
-  view.lost_vms = this->table.Lost();
+  view.vms = this->table->Merged();
+  view.lost_vms = this->table->Lost();
   view.ready = this->ready(now);
   view.may_hold_slots = now < this->HoldUntil();
   view.successors = this->successors;
@@ -154,7 +168,7 @@
   if (this->superseded || this->self_lost || !this->documents.vms()) {
     return TimePoint::min();
   }
-  return this->hold.HoldUntil();
+  return this->hold->HoldUntil();
 }
 
 bool Membership::ready(TimePoint now) const {
@@ -179,7 +193,7 @@
   this->missing.erase(key);
   this->changed = true;
   if (key == kVmsKey) {
-    this->table.SetPublished(this->documents.vms());
+    this->table->SetPublished(this->documents.vms());
     this->ListChanged(now);
   }
   this->RequestPush(now);
@@ -188,22 +202,22 @@
 
 void Membership::ListChanged(TimePoint now) {
   const VmList& list = *this->documents.vms();
-  this->hold.SetMonitors(
+  this->hold->SetMonitors(
       MonitorsOf(this->options.vm, this->options.data_centre, list, this->options.monitors));
-  this->silence.SetPublished(list, this->options.monitors, now);
-  this->schedule.SetRole(IsWatcher(this->options.vm, this->options.data_centre,
-                                   *this->table.Merged(), this->options.watchers_per_data_centre),
-                         list.vms.size(), now);
+  this->silence->SetPublished(list, this->options.monitors, now);
+  this->schedule->SetRole(IsWatcher(this->options.vm, this->options.data_centre,
+                                    *this->table->Merged(), this->options.watchers_per_data_centre),
+                          list.vms.size(), now);
 }
 
 void Membership::Bootstrap(TimePoint now, MembershipActions& actions) {
   for (auto& [key, state] : this->missing) {
-    if (state.absent || state.ask_at > now || this->exchange.Pending(key) ||
-        this->schedule.Reading(key)) {
+    if (state.absent || state.ask_at > now || this->exchange->Pending(key) ||
+        this->schedule->Reading(key)) {
       continue;
     }
     const std::optional<std::string> peer = this->RandomPeerAddress();
-    if (!peer && key != kVmsKey && !this->documents.vms() && !this->schedule.Reading("vms") &&
+    if (!peer && key != kVmsKey && !this->documents.vms() && !this->schedule->Reading("vms") &&
         this->missing.contains(std::string(kVmsKey))) {
       // The list is read first; it names peers that have the rest.
       state.ask_at = now + this->options.peer_interval;
@@ -212,10 +226,10 @@
     if (peer && state.asked < this->options.peers_asked_first) {
       ++state.asked;
       state.ask_at = now + this->random.Jitter(this->options.peer_interval, 0.5);
-      this->exchange.Ask(*peer, key, now, actions);
+      this->exchange->Ask(*peer, key, now, actions);
       continue;
     }
-    if (peer && !state.waited && !this->schedule.watcher()) {
+    if (peer && !state.waited && !this->schedule->watcher()) {
       const std::chrono::duration<double> spread(
           static_cast<double>(this->documents.vms() ? this->documents.vms()->vms.size() : 1) /
           this->options.first_reads_per_second * this->random.Unit());
@@ -223,7 +237,7 @@
       state.ask_at = now + std::chrono::duration_cast<Duration>(spread);
       continue;
     }
-    this->schedule.RequestRead(key, now);
+    this->schedule->RequestRead(key, now);
   }
 }
 
--- a/src/membership/monitors.cc
+++ b/src/membership/monitors.cc
@@ -1,8 +1,8 @@
+#include "membership/monitors.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "ibishold/membership.h"
-
 namespace ibishold {
 
 std::vector<VmId> MonitorsOf(const VmId& vm,
--- a/src/membership/platform_schedule.cc
+++ b/src/membership/platform_schedule.cc
@@ -1,6 +1,6 @@
-#include <algorithm>
+#include "membership/platform_schedule.h"
 
-#include "ibishold/membership.h"
+#include <algorithm>
 
 namespace ibishold {
 
--- /dev/null
+++ b/src/membership/platform_schedule.h
@@ -0,0 +1,71 @@
+#ifndef SRC_MEMBERSHIP_PLATFORM_SCHEDULE_H_
+#define SRC_MEMBERSHIP_PLATFORM_SCHEDULE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "ibishold/membership.h"
+#include "membership/token_bucket.h"
+
+namespace ibishold {
+
+// A VM without documents reads when told to. A watcher keeps one watch a key, each with its own
+// deadline, and reads the keys periodically beside them. All others poll.
+class PlatformSchedule {
+ public:
+  PlatformSchedule(const MembershipOptions& options, Random& random);
+
+  void SetRole(bool watcher, std::size_t fleet, TimePoint now);
+  void RequestRead(const std::string& key, TimePoint now);  // plain read as soon as allowed
+  bool Reading(const std::string& key) const;               // a read is requested or running
+  void Plan(const ConfigStore& store, TimePoint now, MembershipActions& actions);
+  // The key of the call; empty if the call has ended by its deadline before.
+  std::string Ended(std::uint64_t call,
+                    const absl::StatusOr<PlatformAnswer>& answer,
+                    TimePoint now);
+  TimePoint NextWake(TimePoint now);
+  std::uint64_t calls() const { return this->last_call; }
+  bool watcher() const { return this->is_watcher; }
+
+ private:
+  struct Call {
+    std::uint64_t id = 0;  // 0: none
+    TimePoint deadline{};
+  };
+  struct Key {
+    std::string name;
+    Call watch;
+    Call read;
+    TimePoint watch_at{};
+    Duration watch_backoff{};
+    TimePoint read_at = TimePoint::max();
+    TimePoint full_read_at = TimePoint::max();
+    bool full_read = false;
+    // Generation of the last value served. Above the one in force if that value was refused or
+    // states another generation in its text; asking from here on keeps it from being sent again
+    // with every call.
+    std::uint64_t served = 0;
+    TimePoint recheck_at{};
+  };
+
+  void WatchFailed(Key& key, TimePoint now);
+  TimePoint NextRead(const Key& key, TimePoint now);
+  Duration ReadInterval(const Key& key) const;
+  Duration FullReadInterval(const Key& key) const;
+
+  const MembershipOptions& options;
+  Random& random;
+  TokenBucket bucket;
+  std::vector<Key> keys;
+  bool is_watcher = false;
+  bool has_role = false;
+  Duration poll_interval{};
+  std::uint64_t last_call = 0;
+};
+
+}  // namespace ibishold
+
+#endif  // SRC_MEMBERSHIP_PLATFORM_SCHEDULE_H_
--- a/src/membership/silence_detector.cc
+++ b/src/membership/silence_detector.cc
@@ -1,7 +1,9 @@
+#include "membership/silence_detector.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "ibishold/membership.h"
+#include "membership/monitors.h"
 
 namespace ibishold {
 
--- /dev/null
+++ b/src/membership/silence_detector.h
@@ -0,0 +1,57 @@
+#ifndef SRC_MEMBERSHIP_SILENCE_DETECTOR_H_
+#define SRC_MEMBERSHIP_SILENCE_DETECTOR_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ibishold/membership.h"
+
+namespace ibishold {
+
+class SilenceDetector {
+ public:
+  SilenceDetector(VmId self, Duration loss_limit, Duration report_limit)
+      : self(std::move(self)), loss_limit(loss_limit), report_limit(report_limit) {}
+
+  // Computes whom this VM monitors, and the other monitors of these.
+  void SetPublished(const VmList& list, std::size_t monitors, TimePoint now);
+  void Heard(const VmId& vm, TimePoint now);
+  // This VM was paused: silence counts from now on again.
+  void Resume(TimePoint now);
+
+  struct Silent {
+    VmId vm;
+    std::vector<VmId> monitors;  // all monitors of the VM
+  };
+  std::vector<Silent> SilentVms(TimePoint now) const;
+
+  // Notes the report of a monitor, or of this VM itself. True if more than half of the monitors of
+  // the VM report this incarnation silent.
+  bool Report(const VmId& reporter, const SilentVm& report, TimePoint now);
+
+  // False for ever once this VM has reported that run silent: its report may have made others
+  // declare the run lost without this VM hearing of it, and an acknowledgement would let the run
+  // hold slots that have a new owner. The run must return with a new incarnation.
+  bool MayAcknowledge(const VmId& vm, Incarnation incarnation) const;
+
+ private:
+  struct Watched {
+    TimePoint heard_at{};
+    std::vector<VmId> monitors;
+    std::map<VmId, std::pair<Incarnation, TimePoint>> reports;
+    std::optional<Incarnation> own_report;  // run that this VM reported last
+  };
+
+  VmId self;
+  Duration loss_limit;
+  Duration report_limit;
+  std::map<std::string, Watched> watched;
+};
+
+}  // namespace ibishold
+
+#endif  // SRC_MEMBERSHIP_SILENCE_DETECTOR_H_
--- a/src/membership/token_bucket.cc
+++ b/src/membership/token_bucket.cc
@@ -1,6 +1,6 @@
-#include <algorithm>
+#include "membership/token_bucket.h"
 
-#include "ibishold/membership.h"
+#include <algorithm>
 
 namespace ibishold {
 
--- a/src/membership/vm_table.cc
+++ b/src/membership/vm_table.cc
@@ -1,8 +1,8 @@
+#include "membership/vm_table.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "ibishold/membership.h"
-
 namespace ibishold {
 
 namespace {
--- /dev/null
+++ b/src/membership/vm_table.h
@@ -0,0 +1,35 @@
+#ifndef SRC_MEMBERSHIP_VM_TABLE_H_
+#define SRC_MEMBERSHIP_VM_TABLE_H_
+
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "ibishold/membership.h"
+
+namespace ibishold {
+
+class VmTable {
+ public:
+  // Returns true if the merged list changed.
+  bool SetPublished(std::shared_ptr<const VmList> list);
+  bool Apply(const VmFact& fact);
+
+  VmFact FactOf(const VmId& vm) const;  // incarnation 0 if nothing is known
+  const VmEntry* Published(const VmId& vm) const;
+  const std::shared_ptr<const VmList>& published() const { return this->published_list; }
+  std::shared_ptr<const VmList> Merged();  // null until a list is published
+  std::set<VmId> Lost();
+
+ private:
+  std::shared_ptr<const VmList> published_list;
+  std::shared_ptr<const VmList> merged;  // null: to be rebuilt
+  std::unordered_map<std::string, std::size_t> places;
+  std::unordered_map<std::string, VmFact> facts;
+};
+
+}  // namespace ibishold
+
+#endif  // SRC_MEMBERSHIP_VM_TABLE_H_
--- a/standins/leaf_model.h
+++ b/standins/leaf_model.h
@@ -21,6 +21,10 @@
 
 using Clock = std::chrono::steady_clock;
 
+inline double MillisecondsSince(Clock::time_point from) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - from).count();
+}
+
 // Behaviour of leaves. The admin API changes single members while running.
 struct LeafOptions {
   double median_ms = 8;              // service time of a warm leaf, lognormal
--- a/tests/membership/dissemination_test.cc
+++ b/tests/membership/dissemination_test.cc
@@ -31,7 +31,7 @@
     REQUIRE(fleet.AllHave("table", 1));
     Duration worst{};
     for (int change = 0; change < 3; ++change) {
-      const std::uint64_t generation = fleet.PublishTable(change % 2 == 0 ? "out" : "in");
+      const std::uint64_t generation = fleet.platform.PublishTable(change % 2 == 0 ? "out" : "in");
       const Duration took =
           fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(20));
       worst = std::max(worst, took);
--- a/tests/membership/fake_fleet.h
+++ b/tests/membership/fake_fleet.h
@@ -1,15 +1,13 @@
 #ifndef TESTS_MEMBERSHIP_FAKE_FLEET_H_
 #define TESTS_MEMBERSHIP_FAKE_FLEET_H_
 
-// A fleet of Membership objects with a platform and a network in virtual time.
+// A fleet of Membership objects with a network in virtual time.
 
 #include <algorithm>
 #include <cstdint>
-#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +15,10 @@
 #include "absl/strings/str_cat.h"
 #include "ibishold/control.h"
 #include "ibishold/membership.h"
+#include "membership/event_queue.h"
+#include "membership/fake_platform.h"
+#include "membership/fake_vm.h"
+#include "membership/packed_sizes.h"
 
 namespace ibishold {
 
@@ -34,26 +36,7 @@
 
 class FakeFleet {
  public:
-  struct Node {
-    VmId vm;
-    DataCentre data_centre;
-    std::string address;
-    Incarnation incarnation = 0;
-    std::unique_ptr<Membership> membership;  // null: not running
-    std::uint64_t run = 0;                   // events of earlier runs are dropped
-    bool listed = false;
-    VmState listed_state = VmState::kLive;
-    bool frozen = false;
-    bool cut_from_platform = false;
-    int side = 0;  // VMs of different sides do not reach each other
-    TimePoint wake_at = TimePoint::max();
-    std::vector<std::function<void()>> inbox;  // while frozen
-    std::uint64_t bytes_sent = 0;
-    std::uint64_t bytes_received = 0;
-    std::uint64_t datagrams_sent = 0;
-    Duration cpu{};
-    ControlViewPtr view;  // with build_views
-  };
+  using Node = FakeVm;
 
   explicit FakeFleet(FakeFleetOptions given)
       : options(std::move(given)), random(this->options.seed) {
@@ -69,9 +52,11 @@
         this->nodes.push_back(std::move(node));
       }
     }
-    this->PublishTopology();
-    this->PublishTable("in");
+    this->platform.PublishTopology();
+    this->platform.PublishTable("in");
   }
+  FakeFleet(const FakeFleet&) = delete;
+  FakeFleet& operator=(const FakeFleet&) = delete;
 
   // ---- Control of the run ----
 
@@ -129,15 +114,7 @@
 
   void RunFor(Duration duration) { this->RunUntil(this->now + duration); }
 
-  void RunUntil(TimePoint end) {
-    while (!this->events.empty() && this->events.top().at <= end) {
-      Event event = this->events.top();
-      this->events.pop();
-      this->now = event.at;
-      event.action();
-    }
-    this->now = end;
-  }
+  void RunUntil(TimePoint end) { this->events.RunUntil(end); }
 
   // Runs until the condition holds; the time it took, or `limit` if it never did.
   Duration RunUntilTrue(const std::function<bool()>& condition,
@@ -150,43 +127,16 @@
     return this->now - start;
   }
 
-  // ---- Platform ----
-
-  void Publish(const std::string& key, std::uint64_t generation, std::string text) {
-    this->published[key] = {generation, std::move(text)};
-    if (!this->platform_stale) {
-      this->served = this->published;
-      this->AnswerWatches();
-    }
-  }
-
-  std::uint64_t PublishTable(const std::string& state, int weight = 100) {
-    const std::uint64_t generation = ++this->generations["table"];
-    this->Publish("table", generation,
-                  absl::StrCat(R"({"generation":)", generation,
-                               R"(,"rows":[{"service":"depot-desk","data_centre":"dc-0","state":")",
-                               state, R"(","weight":)", weight, "}]}"));
-    return generation;
-  }
-
-  std::uint64_t PublishTopology() {
-    const std::uint64_t generation = ++this->generations["topology"];
-    this->Publish("topology", generation,
-                  absl::StrCat(R"({"generation":)", generation,
-                               R"(,"partition_map_version":1,"services":[]})"));
-    return generation;
-  }
-
   std::uint64_t PublishVms() {
     VmList list;
-    list.generation = ++this->generations["vms"];
+    list.generation = this->platform.NextGeneration("vms");
     for (const Node& node : this->nodes) {
       if (node.listed) {
         list.vms.push_back(
             {node.vm, node.data_centre, node.address, node.incarnation, node.listed_state});
       }
     }
-    this->Publish("vms", list.generation, ToJson(list));
+    this->platform.Publish("vms", list.generation, ToJson(list));
     return list.generation;
   }
 
@@ -248,8 +198,7 @@
   }
 
   void ResetCounters() {
-    this->platform_calls = 0;
-    this->calls_by_second.clear();
+    this->platform.ResetCounters();
     for (Node& node : this->nodes) {
       node.bytes_sent = 0;
       node.bytes_received = 0;
@@ -258,14 +207,6 @@
     }
   }
 
-  std::uint64_t PeakCallsPerSecond() const {
-    std::uint64_t peak = 0;
-    for (const auto& [second, calls] : this->calls_by_second) {
-      peak = std::max(peak, calls);
-    }
-    return peak;
-  }
-
   // Calls an operation of one VM as its control thread does.
   void Call(std::size_t index,
             const std::function<void(Membership&, MembershipActions&)>& operation) {
@@ -290,51 +231,22 @@
 
   FakeFleetOptions options;
   Random random;
-  TimePoint now{std::chrono::hours(1000)};
+  EventQueue events;
+  const TimePoint& now = this->events.now;
   std::vector<Node> nodes;
-  bool platform_down = false;   // calls fail
-  bool platform_stale = false;  // serves what it served when this was set
-  bool watches_silent = false;  // waiting watches never end
-  std::uint64_t platform_calls = 0;
-  std::map<std::int64_t, std::uint64_t> calls_by_second;
+  FakePlatform platform{
+      this->events,
+      {.reply = [this](std::size_t caller, const CallPlatform& call) { this->Reply(caller, call); },
+       .in_run = [this](std::size_t caller,
+                        std::uint64_t run) { return this->nodes[caller].run == run; }}};
 
  private:
-  struct Event {
-    TimePoint at;
-    std::uint64_t order = 0;
-    std::function<void()> action;
-    friend bool operator<(const Event& left, const Event& right) {
-      return left.at != right.at ? left.at > right.at : left.order > right.order;
-    }
-  };
-  struct Value {
-    std::uint64_t generation = 0;
-    std::string text;
-  };
-  struct Waiting {
-    std::size_t index = 0;
-    std::uint64_t run = 0;
-    CallPlatform call;
-    TimePoint deadline;
-  };
-
-  // CPU time of this thread, which other processes on the machine do not distort.
-  static Duration ThreadCpu() {
-    timespec time{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-    return std::chrono::seconds(time.tv_sec) + Duration(time.tv_nsec);
-  }
-
   Incarnation NewIncarnation() {
     return 1'700'000'000'000 +
            static_cast<Incarnation>(this->now.time_since_epoch().count() / 1000000) +
            ++this->incarnations;
   }
 
-  void At(TimePoint at, std::function<void()> action) {
-    this->events.push({at, ++this->event_order, std::move(action)});
-  }
-
   void ScheduleWake(std::size_t index) {
     Node& node = this->nodes[index];
     const TimePoint next =
@@ -357,7 +269,7 @@
   // Delivers an event to the present run of a VM, after its pause if it is frozen.
   void ToNode(std::size_t index, TimePoint at, std::function<void()> action) {
     const std::uint64_t run = this->nodes[index].run;
-    this->At(at, [this, index, run, action = std::move(action)] {
+    this->events.At(at, [this, index, run, action = std::move(action)] {
       Node& node = this->nodes[index];
       if (node.run != run || !node.membership) {
         return;
@@ -433,7 +345,7 @@
         document = *found;
       }
       // Handshake, hellos, frame headers.
-      const std::uint64_t size = 700 + (found == nullptr ? 0 : this->PackedSize(*found));
+      const std::uint64_t size = 700 + (found == nullptr ? 0 : this->packed_sizes.Of(*found));
       this->nodes[to].bytes_sent += size;
       this->ToNode(from, this->now + trip / 2, [this, from, size, document, answer] {
         this->nodes[from].bytes_received += size;
@@ -442,56 +354,27 @@
     });
   }
 
-  std::uint64_t PackedSize(const Document& document) {
-    const auto [place, fresh] = this->packed_sizes.try_emplace(document.digest.hash, 0);
-    if (fresh) {
-      place->second = Deflate(document.text).size();
-    }
-    return place->second;
-  }
-
   void Execute(std::size_t from, const CallPlatform& action) {
-    ++this->platform_calls;
-    ++this->calls_by_second[this->now.time_since_epoch().count() / 1'000'000'000];
+    this->platform.CountCall();
     // Connection and request headers.
     this->nodes[from].bytes_sent += 400;
-    if (this->platform_down || this->nodes[from].cut_from_platform) {
+    if (this->platform.down || this->nodes[from].cut_from_platform) {
       this->ToNode(from, this->now + this->options.platform, [this, from, action] {
         this->Answer(from, action, absl::UnavailableError("no connection"));
       });
       return;
     }
     const std::uint64_t run = this->nodes[from].run;
-    this->At(this->now + this->options.platform, [this, from, run, action] {
-      const auto value = this->served.find(action.key);
-      const bool newer =
-          value != this->served.end() && value->second.generation > action.generation;
-      if (action.conditional && !newer && action.wait > Duration{}) {
-        if (!this->watches_silent) {
-          this->waiting.push_back({from, run, action, this->now + action.wait});
-          this->At(this->now + action.wait, [this] { this->AnswerWatches(); });
-        }
-        return;
-      }
-      this->Reply(from, action);
-    });
+    this->events.At(this->now + this->options.platform,
+                    [this, from, run, action] { this->platform.Receive(from, run, action); });
   }
 
   void Reply(std::size_t from, const CallPlatform& action) {
-    if (this->platform_down || this->nodes[from].cut_from_platform) {
+    if (this->platform.down || this->nodes[from].cut_from_platform) {
       return;  // the connection is silent
     }
-    const auto value = this->served.find(action.key);
-    absl::StatusOr<PlatformAnswer> answer = absl::NotFoundError("no such key");
-    std::uint64_t size = 400;
-    if (value != this->served.end()) {
-      const bool send = !action.conditional || value->second.generation > action.generation;
-      answer = PlatformAnswer{value->second.generation, std::nullopt};
-      if (send) {
-        answer->text = value->second.text;
-      }
-      size += send ? value->second.text.size() : 0;
-    }
+    const absl::StatusOr<PlatformAnswer> answer = this->platform.AnswerTo(action);
+    const std::uint64_t size = 400 + (answer.ok() && answer->text ? answer->text->size() : 0);
     this->ToNode(from, this->now + this->options.platform, [this, from, action, answer, size] {
       this->nodes[from].bytes_received += size;
       this->Answer(from, action, answer);
@@ -506,37 +389,9 @@
     });
   }
 
-  void AnswerWatches() {
-    if (this->watches_silent || this->platform_down) {
-      this->waiting.clear();
-      return;
-    }
-    std::vector<Waiting> left;
-    for (Waiting& each : std::exchange(this->waiting, {})) {
-      const auto value = this->served.find(each.call.key);
-      const bool newer =
-          value != this->served.end() && value->second.generation > each.call.generation;
-      if (this->nodes[each.index].run != each.run) {
-        continue;
-      }
-      if (newer || each.deadline <= this->now) {
-        this->Reply(each.index, each.call);
-      } else {
-        left.push_back(std::move(each));
-      }
-    }
-    this->waiting = std::move(left);
-  }
-
-  std::priority_queue<Event> events;
-  std::uint64_t event_order = 0;
   std::uint64_t incarnations = 0;
   std::map<std::string, std::size_t> by_address;
-  std::map<std::string, Value> published;
-  std::map<std::string, Value> served;
-  std::map<std::string, std::uint64_t> generations;
-  std::map<std::uint64_t, std::uint64_t> packed_sizes;
-  std::vector<Waiting> waiting;
+  PackedSizes packed_sizes;
 };
 
 }  // namespace ibishold
--- a/tests/membership/fleet_start_test.cc
+++ b/tests/membership/fleet_start_test.cc
@@ -24,10 +24,10 @@
   fleet.StartAll();
   fleet.RunFor(seconds(15));
   REQUIRE(fleet.CountHolding() == fleet.nodes.size());
-  figures.first_start_peak = fleet.PeakCallsPerSecond();
+  figures.first_start_peak = fleet.platform.PeakCallsPerSecond();
   fleet.ResetCounters();
   fleet.RunFor(seconds(20));
-  figures.steady = static_cast<double>(fleet.platform_calls) / 20;
+  figures.steady = static_cast<double>(fleet.platform.calls) / 20;
   fleet.ResetCounters();
   const std::size_t first = fleet.nodes.size() - restarted;
   for (std::size_t i = first; i < fleet.nodes.size(); ++i) {
@@ -44,7 +44,7 @@
         return true;
       },
       seconds(30), std::chrono::milliseconds(100));
-  figures.centre_peak = fleet.PeakCallsPerSecond();
+  figures.centre_peak = fleet.platform.PeakCallsPerSecond();
   return figures;
 }
 
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -4,6 +4,9 @@
 #include <vector>
 
 #include "membership/fake_fleet.h"
+#include "membership/hold_clock.h"
+#include "membership/monitors.h"
+#include "membership/silence_detector.h"
 
 namespace ibishold {
 
@@ -131,7 +134,7 @@
   SUBCASE("sudden death without the platform") {
     // Guards against slots that stay unused while the platform is down, and against a takeover
     // before the old holder is certain to have stopped.
-    fleet.platform_stale = true;
+    fleet.platform.stale = true;
     fleet.Stop(0);
     fleet.RunFor(seconds(55));
     CHECK(fleet.CountSeeing(0, VmState::kLost) == 0);
@@ -215,7 +218,7 @@
   CHECK_FALSE(fleet.MayHold(1));
   fleet.RunFor(seconds(70));
   CHECK(fleet.CountSeeing(0, VmState::kLost) == total - 2);
-  const std::uint64_t generation = fleet.PublishTable("out");
+  const std::uint64_t generation = fleet.platform.PublishTable("out");
   fleet.RunFor(seconds(5));
   CHECK(fleet.CountHaving("table", generation) == total - 2);
   for (const std::size_t index : {0, 1}) {
@@ -236,7 +239,7 @@
     fleet.nodes[i].side = 1;
     fleet.nodes[i].cut_from_platform = true;
   }
-  const std::uint64_t generation = fleet.PublishTable("out");
+  const std::uint64_t generation = fleet.platform.PublishTable("out");
   fleet.RunFor(std::chrono::hours(1));
   // Guards against a region that gives up slots of its own leaves because the other one is away.
   CHECK(fleet.CountHolding() == fleet.nodes.size());
@@ -255,7 +258,7 @@
     FakeFleet fleet({.centres = {7}, .seed = seed, .datagram_loss = 0.05});
     fleet.StartAll();
     fleet.RunFor(seconds(10));
-    fleet.platform_stale = true;
+    fleet.platform.stale = true;
     Random random(seed);
     std::vector<TimePoint> until(fleet.nodes.size());
     bool overlap = false;
--- a/tests/membership/outage_test.cc
+++ b/tests/membership/outage_test.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "membership/fake_fleet.h"
+#include "membership/platform_schedule.h"
 
 namespace ibishold {
 
@@ -17,13 +18,13 @@
   const std::size_t total = fleet.nodes.size();
 
   SUBCASE("the platform is down for an hour") {
-    fleet.platform_down = true;
+    fleet.platform.down = true;
     fleet.RunFor(seconds(60));
     fleet.ResetCounters();
     fleet.RunFor(std::chrono::hours(1));
     // Guards against a fleet that stops, or hammers the platform, while it cannot be reached.
     CHECK(fleet.CountHolding() == total);
-    CHECK(fleet.PeakCallsPerSecond() <= 2 * total);
+    CHECK(fleet.platform.PeakCallsPerSecond() <= 2 * total);
     // A VM that restarts meanwhile gets everything from its peers, because settings name some.
     fleet.options.seeds = true;
     fleet.Stop(2);
@@ -33,20 +34,20 @@
         seconds(20));
     CHECK(ready <= seconds(6));
     // Back again with a change.
-    fleet.platform_down = false;
-    const std::uint64_t generation = fleet.PublishTable("out");
+    fleet.platform.down = false;
+    const std::uint64_t generation = fleet.platform.PublishTable("out");
     const Duration took =
         fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30));
     CHECK(took <= seconds(6));
   }
   SUBCASE("the platform serves old documents") {
-    const std::uint64_t newest = fleet.PublishTable("out");
+    const std::uint64_t newest = fleet.platform.PublishTable("out");
     fleet.RunFor(seconds(5));
-    fleet.platform_stale = true;
-    fleet.Publish("table", 1, "unused");
+    fleet.platform.stale = true;
+    fleet.platform.Publish("table", 1, "unused");
     // A VM restarts beside a platform that serves generation 1 again.
-    fleet.platform_stale = false;
-    fleet.Publish("table", 1, R"({"generation":1,"rows":[]})");
+    fleet.platform.stale = false;
+    fleet.platform.Publish("table", 1, R"({"generation":1,"rows":[]})");
     fleet.Stop(3);
     fleet.Start(3);
     fleet.RunFor(seconds(5));
@@ -58,7 +59,7 @@
     for (std::size_t i = 1; i < total; ++i) {
       fleet.nodes[i].cut_from_platform = true;
     }
-    const std::uint64_t generation = fleet.PublishTable("out");
+    const std::uint64_t generation = fleet.platform.PublishTable("out");
     const Duration took =
         fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(60));
     MESSAGE("one VM reads: " << ToMilliseconds(took) << " ms");
@@ -67,10 +68,10 @@
   }
   SUBCASE("watches go silent") {
     // Guards against a watch that never ends and hides every later change.
-    fleet.watches_silent = true;
+    fleet.platform.watches_silent = true;
     fleet.RunFor(seconds(30));
     for (int change = 0; change < 5; ++change) {
-      const std::uint64_t generation = fleet.PublishTable(change % 2 == 0 ? "out" : "in");
+      const std::uint64_t generation = fleet.platform.PublishTable(change % 2 == 0 ? "out" : "in");
       const Duration took =
           fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30));
       CHECK(took <= seconds(3));
@@ -83,9 +84,9 @@
     // Guards against a fleet that stays split when the platform's replicas differ.
     const std::string first = R"({"generation":9,"rows":[]})";
     const std::string second = R"({"generation":9,"base":3,"rows":[]})";
-    fleet.Publish("table", 9, first);
+    fleet.platform.Publish("table", 9, first);
     fleet.RunFor(milliseconds(6));
-    fleet.Publish("table", 9, second);
+    fleet.platform.Publish("table", 9, second);
     fleet.Stop(0);
     fleet.Start(0);
     fleet.RunFor(seconds(100));
@@ -95,7 +96,7 @@
     }
   }
   SUBCASE("an invalid table is refused by all") {
-    fleet.Publish("table", 5, R"({"generation":5,"rows":[{"service":"a"}]})");
+    fleet.platform.Publish("table", 5, R"({"generation":5,"rows":[{"service":"a"}]})");
     fleet.RunFor(seconds(10));
     CHECK(fleet.CountHaving("table", 5) == 0);
     CHECK(fleet.CountHaving("table", 1) == total);
@@ -105,8 +106,8 @@
     for (const auto& node : fleet.nodes) {
       CHECK(node.bytes_received < 20 * 4000);
     }
-    CHECK(fleet.platform_calls <= 20 * total);
-    fleet.Publish("table", 6, R"({"generation":6,"rows":[]})");
+    CHECK(fleet.platform.calls <= 20 * total);
+    fleet.platform.Publish("table", 6, R"({"generation":6,"rows":[]})");
     fleet.RunFor(seconds(6));
     CHECK(fleet.AllHave("table", 6));
   }
@@ -146,7 +147,7 @@
     fleet.StartAll();
     fleet.RunFor(seconds(15));
     for (int round = 0; round < 2; ++round) {
-      fleet.watches_silent = true;
+      fleet.platform.watches_silent = true;
       fleet.nodes[1].cut_from_platform = true;
       fleet.Freeze(2);
       fleet.Stop(3);
@@ -154,13 +155,13 @@
         fleet.nodes[i].side = 1;
       }
       fleet.Call(4, [&](Membership& member, MembershipActions&) { member.Leave(fleet.now); });
-      fleet.PublishTable("out");
+      fleet.platform.PublishTable("out");
       fleet.RunFor(seconds(30));
-      fleet.platform_down = true;
+      fleet.platform.down = true;
       fleet.RunFor(seconds(70));
       CHECK(fleet.CountSeeing(3, VmState::kLost) > 0);
-      fleet.platform_down = false;
-      fleet.watches_silent = false;
+      fleet.platform.down = false;
+      fleet.platform.watches_silent = false;
       fleet.Wake(2);
       fleet.Stop(4);
       fleet.Start(4);
@@ -169,7 +170,7 @@
         node.side = 0;
         node.cut_from_platform = false;
       }
-      const std::uint64_t generation = fleet.PublishTable("in");
+      const std::uint64_t generation = fleet.platform.PublishTable("in");
       CHECK(fleet.RunUntilTrue([&] { return fleet.AllHave("table", generation); }, seconds(30)) <=
             seconds(6));
       fleet.RunFor(seconds(10));
--- /dev/null
+++ b/tests/membership/packed_sizes.h
@@ -0,0 +1,28 @@
+#ifndef TESTS_MEMBERSHIP_PACKED_SIZES_H_
+#define TESTS_MEMBERSHIP_PACKED_SIZES_H_
+
+#include <cstdint>
+#include <map>
+
+#include "ibishold/control.h"
+
+namespace ibishold {
+
+// Bytes that documents take on a link. Each text is compressed once only.
+class PackedSizes {
+ public:
+  std::uint64_t Of(const Document& document) {
+    const auto [place, fresh] = this->sizes.try_emplace(document.digest.hash, 0);
+    if (fresh) {
+      place->second = Deflate(document.text).size();
+    }
+    return place->second;
+  }
+
+ private:
+  std::map<std::uint64_t, std::uint64_t> sizes;  // by hash
+};
+
+}  // namespace ibishold
+
+#endif  // TESTS_MEMBERSHIP_PACKED_SIZES_H_
--- a/tests/models/one_slot.h
+++ b/tests/models/one_slot.h
@@ -7,7 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "ibishold/membership.h"
+#include "membership/hold_clock.h"
+#include "membership/monitors.h"
+#include "membership/silence_detector.h"
 
 namespace ibishold {
 
