Move the reader of quarantine frames to the control library

The front and the broker each read wire::Quarantine into a QuarantineReport with the same code. ReadQuarantineReport now lies beside the other codecs of src/control/ and the front uses it.

Ruled out: the quarantine library, which knows no messages. A shared writer: only the broker writes this frame.

Before: the reader was tested through the broker only.

Conclusion: no change of behaviour; one copy remains in the broker.

--- a/include/ibishold/control.h
+++ b/include/ibishold/control.h
@@ -9,7 +9,8 @@
 //   2. ControlDuty      the control thread
 //   3. Views on links   getView and view between a front and its broker
 //   4. Documents        getDocument and document between brokers
-//   5. Datagrams        heartbeats on UDP
+//   5. Quarantine       reports that a broker sends to fronts and other brokers
+//   6. Datagrams        heartbeats on UDP
 
 #include <atomic>
 #include <cstdint>
@@ -25,6 +26,7 @@
 #include "ibishold/config.h"
 #include "ibishold/core.h"
 #include "ibishold/membership.h"
+#include "ibishold/quarantine.h"
 #include "schema/ibishold.capnp.h"
 
 namespace ibishold {
@@ -123,7 +125,12 @@
 std::string Deflate(std::string_view text);
 absl::StatusOr<std::string> Inflate(std::string_view stream, std::size_t text_bytes);
 
-// ---- 5. Datagrams -------------------------------------------------------------------------------
+// ---- 5. Quarantine on links ---------------------------------------------------------------------
+
+// The report of a quarantine frame.
+QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader frame);
+
+// ---- 6. Datagrams -------------------------------------------------------------------------------
 
 // One packed Cap'n Proto message of type Datagram; packing halves its size.
 std::string EncodeDatagram(const HeartbeatMessage& message);
--- /dev/null
+++ b/src/control/quarantine_frames.cc
@@ -0,0 +1,17 @@
+#include <chrono>
+
+#include "ibishold/control.h"
+
+namespace ibishold {
+
+QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader frame) {
+  QuarantineReport report;
+  report.fingerprint = frame.getFingerprint();
+  report.crash_age = std::chrono::milliseconds(frame.getCrashAgeMillis());
+  for (const std::uint64_t crash : frame.getAloneCrashes()) {
+    report.alone_crashes.push_back(crash);
+  }
+  return report;
+}
+
+}  // namespace ibishold
--- a/src/front/frames.cc
+++ b/src/front/frames.cc
@@ -83,14 +83,4 @@
   return reply;
 }
 
-QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader report) {
-  QuarantineReport result;
-  result.fingerprint = report.getFingerprint();
-  result.crash_age = std::chrono::milliseconds(report.getCrashAgeMillis());
-  for (const std::uint64_t crash : report.getAloneCrashes()) {
-    result.alone_crashes.push_back(crash);
-  }
-  return result;
-}
-
 }  // namespace ibishold
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -10,7 +10,6 @@
 void WriteBatch(const SendBatch& batch, TimePoint now, wire::Frame::Builder out);
 void WriteCancel(const SendCancel& cancel, std::uint64_t correlation, wire::Frame::Builder out);
 LeafReply ReadLeafReply(wire::LeafAnswer::Reader answer);
-QuarantineReport ReadQuarantineReport(wire::Quarantine::Reader report);
 
 // Frames among fronts. The request that ReadExecute returns has no ticket.
 void WriteExecute(const ForwardExecute& forward, TimePoint now, wire::Frame::Builder out);
--- a/tests/control/control_frames_test.cc
+++ b/tests/control/control_frames_test.cc
@@ -40,6 +40,20 @@
 
 }  // namespace
 
+TEST_CASE("a quarantine frame keeps its report") {
+  // Guards against a receiver that drops a crash and lets the request run again.
+  capnp::MallocMessageBuilder message;
+  auto frame = message.initRoot<wire::Quarantine>();
+  frame.setFingerprint(7);
+  frame.setCrashAgeMillis(1500);
+  auto crashes = frame.initAloneCrashes(2);
+  crashes.set(0, 11);
+  crashes.set(1, 12);
+  const QuarantineReport expected{
+      .fingerprint = 7, .crash_age = std::chrono::milliseconds(1500), .alone_crashes = {11, 12}};
+  CHECK(ReadQuarantineReport(frame.asReader()) == expected);
+}
+
 TEST_CASE("a front follows the view of its broker") {
   auto broker = std::make_shared<ControlView>(*ViewWith(4));
   broker->lost_vms.insert(VmId("vm-2"));
