--- a/src/broker/leaf_duty.cc
+++ b/src/broker/leaf_duty.cc
@@ -179,9 +179,7 @@
   const LeafId& leaf = entry.dispatcher->leaf();
   const std::uint32_t held = std::min(total, this->holder.Held(leaf, now));
   const bool primary = this->holder.ActsAsPrimary(leaf, now);
-  return {.primary = primary,
-          .primary_slots = primary ? held : total - held,
-          .total_slots = total};
+  return {.primary = primary, .primary_slots = primary ? held : total - held, .total_slots = total};
 }
 
 LeafDuty::Entry* LeafDuty::Find(const LeafId& leaf) {
@@ -312,8 +310,7 @@
   }
 }
 
-void LeafDuty::BeginStop(std::function<void()> new_on_left,
-                         std::function<void()> new_on_stopped) {
+void LeafDuty::BeginStop(std::function<void()> new_on_left, std::function<void()> new_on_stopped) {
   this->stopping = true;
   this->stop_at = BootClock::now() + this->options.limits.stop_limit;
   this->leave_at = BootClock::now() + kAnnounceTime;
--- a/src/broker/link_duty.cc
+++ b/src/broker/link_duty.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "ibishold/control.h"
+
 namespace ibishold {
 
 namespace {
@@ -88,17 +90,9 @@
                                     .primary = release.getPrimary()}));
       return;
     }
-    case wire::Frame::Body::QUARANTINE: {
-      const auto entry = body.getQuarantine();
-      PeerQuarantine message;
-      message.report.fingerprint = entry.getFingerprint();
-      message.report.crash_age = std::chrono::milliseconds(entry.getCrashAgeMillis());
-      for (const std::uint64_t crash : entry.getAloneCrashes()) {
-        message.report.alone_crashes.push_back(crash);
-      }
-      this->push(ToLeaf(std::move(message)));
+    case wire::Frame::Body::QUARANTINE:
+      this->push(ToLeaf(PeerQuarantine{.report = ReadQuarantineReport(body.getQuarantine())}));
       return;
-    }
     default:
       return;  // frames of later versions
   }
--- a/src/front/dispatcher.h
+++ b/src/front/dispatcher.h
@@ -124,7 +124,7 @@
   // Owners are computed on first use: placing all leaves of the growth target over 1,100 VMs at
   // once would stall requests for some 200 ms after each change of the VM list.
   Placement owners;
-  std::deque<FormerPlacement> former;  // newest first
+  std::deque<FormerPlacement> former;                       // newest first
   std::unordered_map<std::string, TimePoint> failed_until;  // by broker
   std::map<RouteKey, TimePoint> declined_until;
   std::unordered_map<std::uint64_t, Attempt> attempts;
--- a/standins/load_run.cc
+++ b/standins/load_run.cc
@@ -177,9 +177,7 @@
   if (call.result != CallResult::kAnswered) {
     second.failed += 1;
     const bool unsent = call.result == CallResult::kNotConnected;
-    outcome.error = unsent                            ? "not_connected"
-                    : call.result == CallResult::kCut ? "cut"
-                                                      : "timeout";
+    outcome.error = unsent ? "not_connected" : call.result == CallResult::kCut ? "cut" : "timeout";
     this->errors[outcome.error] += 1;
     this->cut += call.result == CallResult::kCut ? 1 : 0;
     outcome.verdict = unsent ? Verdict::kNotRun : Verdict::kMayHaveRun;
@@ -188,8 +186,8 @@
   second.refused += 1;
   const json::object refusal = RefusalOf(call.response.body());
   // A refusal without a verdict tells nothing.
-  outcome.verdict = FromName<Verdict>(kVerdictNames, TextOf(refusal, "verdict"))
-                        .value_or(Verdict::kMayHaveRun);
+  outcome.verdict =
+      FromName<Verdict>(kVerdictNames, TextOf(refusal, "verdict")).value_or(Verdict::kMayHaveRun);
   outcome.error = std::to_string(call.response.result_int()) + " " + TextOf(refusal, "error") +
                   " " + std::string(NameOf(kVerdictNames, outcome.verdict));
   this->errors[outcome.error] += 1;
