--- a/src/adapters/caller/caller_server.cc
+++ b/src/adapters/caller/caller_server.cc
@@ -22,7 +22,7 @@
                                   AbandonHandler abandon_handler) {
   this->on_request = std::move(request_handler);
   this->on_abandon = std::move(abandon_handler);
-  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  absl::Status opened = OpenListener(this->acceptor, address, port);
   if (!opened.ok()) {
     return opened;
   }
--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -75,7 +75,7 @@
 }
 
 absl::Status OperatorServer::Start(const std::string& address, std::uint16_t port) {
-  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  absl::Status opened = OpenListener(this->acceptor, address, port);
   if (!opened.ok()) {
     return opened;
   }
--- a/src/net/link_server.cc
+++ b/src/net/link_server.cc
@@ -16,7 +16,7 @@
                                 FrameLink::CloseHandler close_handler) {
   this->on_frame = std::move(frame_handler);
   this->on_close = std::move(close_handler);
-  const absl::Status opened = OpenListener(this->acceptor, address, port);
+  absl::Status opened = OpenListener(this->acceptor, address, port);
   if (!opened.ok()) {
     return opened;
   }
