--- a/src/front/query_engine.h
+++ b/src/front/query_engine.h
@@ -73,7 +73,6 @@
   void Plan(Query& query, PinnedSnapshot pinned, TimePoint now);
   // Adds an attempt for the shard; false if no route is left.
   bool Ask(Query& query, std::size_t shard, Extra extra, TimePoint now);
-  Duration HedgeDelay(const Shard& shard, const LeafId& asked) const;
   bool AskOrWait(Query& query, std::size_t shard, Extra extra, TimePoint now);
   void OnFailure(Query& query, const Attempt& attempt, const LeafReply& reply, TimePoint now);
   bool TryReplan(Query& query, TimePoint now);
--- a/src/front/query_plan.cc
+++ b/src/front/query_plan.cc
@@ -63,7 +63,9 @@
   }
   if (!run.hedged && !run.alone && service.shards[shard].leaves.size() > 1 &&
       this->dispatcher.shares.RowOf(service.name, route->leaf->data_centre).hedge) {
-    const Duration delay = this->HedgeDelay(service.shards[shard], route->leaf->id);
+    const Duration delay =
+        this->dispatcher.latency.Quantile(route->leaf->id, this->options.hedge_quantile)
+            .value_or(this->options.default_hedge_delay);
     this->dispatcher.timers.Add({.at = now + std::max(delay, this->options.minimum_hedge_delay),
                                  .kind = TimerKind::kHedge,
                                  .id = query.header.request,
@@ -74,19 +76,6 @@
   return true;
 }
 
-// After this time another replica would very likely have answered. A slow leaf's own quantile would
-// delay the hedge by its slowness.
-Duration QueryEngine::HedgeDelay(const Shard& shard, const LeafId& asked) const {
-  const auto quantile = [this](const LeafId& leaf) {
-    return this->dispatcher.latency.Quantile(leaf, this->options.hedge_quantile);
-  };
-  Duration delay = quantile(asked).value_or(this->options.default_hedge_delay);
-  for (const Leaf& leaf : shard.leaves) {
-    delay = std::min(delay, quantile(leaf.id).value_or(delay));
-  }
-  return delay;
-}
-
 bool QueryEngine::AskOrWait(Query& query, std::size_t shard, Extra extra, TimePoint now) {
   if (this->Ask(query, shard, extra, now)) {
     return true;
--- a/src/request_policy/replica_chooser.cc
+++ b/src/request_policy/replica_chooser.cc
@@ -9,23 +9,6 @@
 // requests in flight keep it from being flooded.
 constexpr Duration kUnknownLatency = std::chrono::milliseconds(5);
 
-// Share of choices that ignore latency. A slow leaf must be tried now and then, or nobody would
-// notice that it has recovered.
-constexpr double kExploreShare = 0.25;
-
-// A route to another leaf of no lower weight. Two routes to one slow leaf are no choice.
-std::optional<std::size_t> OtherLeaf(std::span<const ReplicaRoute> routes,
-                                     std::size_t first,
-                                     std::size_t begin) {
-  for (std::size_t n = 0; n < routes.size(); ++n) {
-    const std::size_t i = (begin + n) % routes.size();
-    if (routes[i].leaf->id != routes[first].leaf->id && routes[i].weight >= routes[first].weight) {
-      return i;
-    }
-  }
-  return std::nullopt;
-}
-
 std::string KeyOf(const LeafId& leaf, const VmId& owner) {
   return absl::StrCat(leaf.value, "\n", owner.value);
 }
@@ -46,13 +29,7 @@
   if (rest <= 0) {
     return first;
   }
-  if (this->random.Unit() < kExploreShare) {
-    return first;
-  }
-  std::size_t second = this->Draw(routes, total);
-  if (routes[second].leaf->id == routes[first].leaf->id) {
-    second = OtherLeaf(routes, first, this->random.Below(routes.size())).value_or(second);
-  }
+  const std::size_t second = this->Draw(routes, total);
   return this->Score(routes[second], latency) < this->Score(routes[first], latency) ? second
                                                                                     : first;
 }
