Name half of the peers in a gossip message by chance

Cause: peer_table_300 (known red since it was written): after 10 s the VM that knew fewest knew 289 of 300 VMs, 294 are asked for. Three quarters of the 44 names in a message were the freshest ones, which are the same for all senders, so that only 11 names a message spread the rest. Ruled out: the interval of the first seconds (more messages of the same names would repeat the same ones).

--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -112,6 +112,9 @@
   Duration first_time = std::chrono::seconds(2);             // how long that is
   std::size_t targets = 2;                                   // receivers of each message
   std::size_t sample = 44;                                   // peers named in each message
+  // Share of a message that names the peers heard of last; the rest is chosen by chance. Fresh news
+  // show lost peers early, chance makes every peer known everywhere.
+  double fresh_share = 0.5;
   // A peer is taken as lost when nothing newer has been heard for this long. News of one peer
   // arrive more rarely in a larger fleet, because messages do not grow.
   Duration silence = std::chrono::milliseconds(3500);
--- a/src/fleet/peer_table.cc
+++ b/src/fleet/peer_table.cc
@@ -54,7 +54,8 @@
   const std::size_t kept = std::min(all.size(), this->options.sample);
   // Fresh news first, because they are news to most receivers; the rest by chance (a partial
   // Fisher-Yates shuffle), so that nothing is left out for long.
-  const std::size_t fresh = kept * 3 / 4;
+  const auto fresh =
+      static_cast<std::size_t>(this->options.fresh_share * static_cast<double>(kept));
   std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(fresh), all.end(),
                     [](const PeerReport& a, const PeerReport& b) { return a.age < b.age; });
   for (std::size_t i = fresh; i < kept; ++i) {
--- a/tests/fleet/peer_table_test.cc
+++ b/tests/fleet/peer_table_test.cc
@@ -106,7 +106,7 @@
   CheckDiscovery(139);
 }
 
-// A ctest test of its own (peer_table_300), because it is listed in KNOWN-RED.txt.
+// A ctest test of its own (peer_table_300), because it takes several times as long as the others.
 TEST_CASE("300 VMs find each other from three seeds" * doctest::skip()) {
   CheckDiscovery(300);
 }
