--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -126,9 +126,10 @@
     int attempts = 0;  // sends so far, without those that did not run
     int launches = 0;  // all sends, bounded by kLaunchLimit
     bool first_counted = false;
-    TimePoint retry_at{};   // kWaiting
-    TimePoint second_at{};  // kRunning: when a second send is considered
-    LeafReply reply;        // kDone
+    TimePoint retry_at{};       // kWaiting
+    TimePoint second_at{};      // kRunning: when a second send is considered
+    LeafReply reply;            // kDone
+    std::string_view obstacle;  // why a send was not made, noted last
   };
   struct Progress {
     Call call;
@@ -186,6 +187,12 @@
                    const Shard& shard,
                    const LeafId& leaf,
                    std::string detail = {});
+  // Notes an obstacle that tries in quick succession meet only once.
+  static void NoteOnce(Progress& progress,
+                       TimePoint now,
+                       std::string_view what,
+                       Shard& shard,
+                       const LeafId& leaf);
   Duration Usual(const Route& route);
   ClassLatency& LatencyOf(const Route& route);
   std::pair<Progress*, Shard*> FindAttempt(AttemptId attempt);
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -157,6 +157,7 @@
       shard.state = any ? ShardState::kWaiting : ShardState::kFailed;
       shard.retry_at = now + this->options.busy_retry;
     }
+    NoteOnce(progress, now, any ? "leaves_busy" : "no_leaf", shard, {});
     return false;
   }
   // What another VM may have sent already is an extra send for the service.
@@ -165,8 +166,8 @@
                                      shard.running.empty() ? 0 : this->options.hedge_reserve)) {
     if (shard.running.empty()) {
       shard.state = ShardState::kFailed;
-      Note(progress, now, "no_budget", shard, leaf->id);
     }
+    NoteOnce(progress, now, "no_budget", shard, leaf->id);
     return false;
   }
   const AttemptId attempt = ++this->last_attempt;
@@ -251,6 +252,17 @@
   }
 }
 
+void Coordinator::NoteOnce(Progress& progress,
+                           TimePoint now,
+                           std::string_view what,
+                           Shard& shard,
+                           const LeafId& leaf) {
+  if (shard.obstacle != what) {
+    shard.obstacle = what;
+    Note(progress, now, what, shard, leaf);
+  }
+}
+
 std::vector<CallSummary> Coordinator::TakeSummaries() {
   return std::exchange(this->summaries, {});
 }
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -186,6 +186,7 @@
       kLeastUsefulTime * static_cast<double>(this->Usual(route).count())));
   const bool enough = progress.done >= LeastShards(progress) && progress.done > 0;
   if (now + useful > (enough ? progress.cut_at : progress.deadline)) {
+    NoteOnce(progress, now, "too_late", shard, {});
     return;
   }
   if (!this->Launch(id, progress, shard, true, now, actions)) {
--- a/tests/dispatch/coordinator_test.cc
+++ b/tests/dispatch/coordinator_test.cc
@@ -217,4 +217,26 @@
   CHECK(fixture.Answers().size() == 1);
 }
 
+TEST_CASE("a partial answer tells why the missing shard was not asked again") {
+  CoordinatorOptions options;
+  options.extra_sends = {.share = 0, .slack = 0, .initial_share = 0};
+  DispatchFixture fixture(4, options);
+  fixture.Begin("/all/1");
+  const std::vector<SendAction> first = fixture.Sends();
+  for (std::size_t i = 0; i < 3; ++i) {
+    fixture.Reply(first[i]);
+  }
+  fixture.RunUntil(milliseconds(100));
+  REQUIRE(fixture.Answers().size() == 1);
+  std::vector<std::string_view> obstacles;
+  const std::vector<CallSummary> summaries = fixture.coordinator.TakeSummaries();
+  REQUIRE(summaries.size() == 1);
+  for (const CallNote& note : summaries[0].notes) {
+    CHECK(note.service == "shard-3");
+    obstacles.push_back(note.what);
+  }
+  // Each obstacle once, however many tries met it.
+  CHECK(obstacles == std::vector<std::string_view>{"no_budget", "too_late", "given_up"});
+}
+
 }  // namespace ibishold
