VMs tell each other which leaves do not answer

Cause: a leaf pauses for 100 to 200 ms every few seconds, and every VM found that out by itself with a request that waits: on 13 VMs each one sends to a shard 7 times a second. Now the VM whose request meets a silent leaf (no answer to this VM since the request was sent) tells the VMs that send to the same leaves, at most 16 of them; they avoid it for 120 ms or until it answers. The told list travels in a gossip message. Tests: leaf_tracker_test, 'a leaf that pauses is seen by one VM and avoided by all'; fleet_messages_test.

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -6,7 +6,7 @@
 //
 // Index of this header:
 //   1. Call           what a caller asked, as far as decisions need it
-//   2. LeafReply      what a leaf answered
+//   2. LeafReply      what a leaf answered, or that it did not
 //   3. Answer         the final answer to a call
 //   4. Action         what the transport is to do
 //   5. RecordMerger   the greatest records of many parts
@@ -49,6 +49,12 @@
   std::uint32_t slots = 0;
 };
 
+// What one VM tells the others that send to the same leaves.
+struct SilentLeaf {
+  LeafId leaf;
+  Duration waited{};  // by a request, without any answer of this leaf to this VM meanwhile
+};
+
 struct HeaderField {
   std::string name;
   std::string value;
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -24,6 +24,7 @@
 
 #include "absl/hash/hash.h"
 
+#include "ibishold/call.h"
 #include "ibishold/core.h"
 
 namespace ibishold {
@@ -308,6 +309,7 @@
   std::vector<PeerReport> peers;
   std::vector<std::uint64_t> refused_calls;  // fingerprints of calls that crash leaves
   std::uint64_t documents_as_of = 0;         // revision up to which the sender knows all documents
+  std::vector<SilentLeaf> silent_leaves;     // just seen by the sender
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -84,6 +84,9 @@
   Duration failure_memory = std::chrono::seconds(3);      // half-life of a failure
   double stall_factor = 3;  // times the usual duration without an answer: stalled
   Duration stall_minimum = std::chrono::milliseconds(25);  // never stalled before, 25 ms
+  // A leaf that was seen silent is avoided for this long, or until it answers: about what remains
+  // of a leaf's pause of 100 to 200 ms (site files) when it is noticed.
+  Duration silence_memory = std::chrono::milliseconds(120);
 };
 
 class LeafTracker {
@@ -109,6 +112,15 @@
   // An attempt at this leaf has been waiting much longer than usual.
   bool Stalled(const LeafId& leaf, TimePoint now) const;
 
+  // An attempt has waited longer than its leaf usually takes. If the leaf has not answered anything
+  // since the attempt was sent, it is taken as silent.
+  void Overdue(AttemptId attempt, TimePoint now);
+  // Another VM saw a leaf silent. Ignored if the leaf has answered this VM meanwhile. True if it
+  // was not known to be silent.
+  bool HeardSilent(const SilentLeaf& news, TimePoint now);
+  // Leaves that this VM itself saw silent since the last time.
+  std::vector<SilentLeaf> TakeSilent();
+
   // False while a cold leaf has had as many requests from this VM as it bears. Takes one.
   bool TakeWarmUp(const LeafEntry& leaf, double rate, std::size_t vms, TimePoint now);
   // The leaf said how long it stays cold.
@@ -135,6 +147,9 @@
     TimePoint warm_up_at{};
     double warm_up_tokens = 0;
     std::uint64_t misplaced_revision = 0;
+    TimePoint replied_at{};    // newest answer to this VM
+    TimePoint silent_until{};  // seen silent, here or by another VM
+    bool told = false;         // others know of the present silence
   };
 
   std::optional<Outstanding> Take(AttemptId attempt);
@@ -144,6 +159,7 @@
   Random random;
   std::unordered_map<LeafId, Condition, absl::Hash<LeafId>> conditions;
   std::unordered_map<AttemptId, Outstanding> outstanding;
+  std::vector<SilentLeaf> silent;  // not taken yet
 };
 
 // ---- 4. CrashGuard ------------------------------------------------------------------------------
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -81,6 +81,7 @@
   // Longest wait at a peer for news; a peer that freezes is noticed within it and the limit.
   Duration peer_wait = std::chrono::milliseconds(1000);
   Duration peer_limit = std::chrono::milliseconds(400);  // to answer beyond that wait
+  std::size_t silence_receivers = 16;                    // VMs that are told of a silent leaf
   // Right after the start, peers are heard of before the store is asked.
   Duration first_read_after = std::chrono::milliseconds(350);
   // A call that is answered completely and in time is logged if its hash falls into this share.
@@ -141,6 +142,9 @@
   void ReceiveGossip();
   void SendGossip();
   void SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now);
+  void SendMessage(const GossipMessage& message, const std::vector<PeerAddress>& targets);
+  void TellSilentLeaves();
+  void LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by);
   void OnGossip(const GossipMessage& message, const PeerAddress& from);
   void UpdatePlan();
   void AnswerWaitingPeers(bool all);
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -248,6 +248,12 @@
   refusedCalls @2 :List(UInt64);        # fingerprints of calls that crash leaves
   documentsAsOf @3 :UInt64;             # revision up to which the sender knows all documents
   dataCentres @4 :List(Text);           # names that the facts refer to
+  silentLeaves @5 :List(SilentLeaf);    # leaves that have just been seen not to answer
+}
+
+struct SilentLeaf {
+  leaf @0 :Text;                        # id
+  waitedMs @1 :UInt32;                  # that a request has been waiting without any answer
 }
 
 # 24 bytes each, so that many fit into one datagram.
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -98,6 +98,7 @@
 CAPNP_DECLARE_SCHEMA(b0705c4c73b37b14);
 CAPNP_DECLARE_SCHEMA(f7f43e0743c83015);
 CAPNP_DECLARE_SCHEMA(d8727c35eef01af1);
+CAPNP_DECLARE_SCHEMA(ec594d21c27eb449);
 CAPNP_DECLARE_SCHEMA(bb095bfb8aae7ea5);
 CAPNP_DECLARE_SCHEMA(c98bd7c8cc687f68);
 CAPNP_DECLARE_SCHEMA(cebefbd49693b063);
@@ -532,7 +533,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SilentLeaf {
+  SilentLeaf() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec594d21c27eb449, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3410,6 +3426,9 @@
   inline bool hasDataCentres() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentres() const;
 
+  inline bool hasSilentLeaves() const;
+  inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Reader getSilentLeaves() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3471,6 +3490,13 @@
   inline void adoptDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentres();
 
+  inline bool hasSilentLeaves();
+  inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Builder getSilentLeaves();
+  inline void setSilentLeaves( ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Builder initSilentLeaves(unsigned int size);
+  inline void adoptSilentLeaves(::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>> disownSilentLeaves();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3498,6 +3524,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class SilentLeaf::Reader {
+public:
+  typedef SilentLeaf Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLeaf() const;
+  inline  ::capnp::Text::Reader getLeaf() const;
+
+  inline  ::uint32_t getWaitedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SilentLeaf::Builder {
+public:
+  typedef SilentLeaf Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLeaf();
+  inline  ::capnp::Text::Builder getLeaf();
+  inline void setLeaf( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeaf(unsigned int size);
+  inline void adoptLeaf(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeaf();
+
+  inline  ::uint32_t getWaitedMs();
+  inline void setWaitedMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SilentLeaf::Pipeline {
+public:
+  typedef SilentLeaf Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerFact::Reader {
 public:
   typedef PeerFact Reads;
@@ -7445,6 +7557,88 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PeerGossip::Reader::hasSilentLeaves() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGossip::Builder::hasSilentLeaves() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Reader PeerGossip::Reader::getSilentLeaves() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::getSilentLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerGossip::Builder::setSilentLeaves( ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::initSilentLeaves(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerGossip::Builder::adoptSilentLeaves(
+    ::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>> PeerGossip::Builder::disownSilentLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool SilentLeaf::Reader::hasLeaf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SilentLeaf::Builder::hasLeaf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SilentLeaf::Reader::getLeaf() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SilentLeaf::Builder::getLeaf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SilentLeaf::Builder::setLeaf( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SilentLeaf::Builder::initLeaf(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SilentLeaf::Builder::adoptLeaf(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SilentLeaf::Builder::disownLeaf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SilentLeaf::Reader::getWaitedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SilentLeaf::Builder::getWaitedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SilentLeaf::Builder::setWaitedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerFact::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -179,6 +179,9 @@
                                      Actions& actions) {
   const Route& route = *progress.route;
   shard.second_at = TimePoint::max();
+  for (const Attempt& running : shard.running) {
+    this->leaves.Overdue(running.id, now);
+  }
   if (!route.repeatable || shard.attempts >= progress.attempt_limit || shard.running.size() != 1) {
     return;
   }
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -104,6 +104,13 @@
     refused.set(i, message.refused_calls[i]);
   }
   root.setDocumentsAsOf(message.documents_as_of);
+  auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
+  for (unsigned i = 0; i < message.silent_leaves.size(); ++i) {
+    silent[i].setLeaf(message.silent_leaves[i].leaf.value);
+    silent[i].setWaitedMs(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(message.silent_leaves[i].waited)
+            .count()));
+  }
   auto names = root.initDataCentres(static_cast<unsigned>(centres.all().size()));
   for (unsigned i = 0; i < centres.all().size(); ++i) {
     names.set(i, centres.all()[i]);
@@ -119,6 +126,10 @@
     for (const auto fact : root.getPeers()) {
       message.peers.push_back(ReadFact(fact, root.getDataCentres()));
     }
+    for (const auto silent : root.getSilentLeaves()) {
+      message.silent_leaves.push_back({.leaf = LeafId(silent.getLeaf().cStr()),
+                                       .waited = std::chrono::milliseconds(silent.getWaitedMs())});
+    }
     for (const std::uint64_t fingerprint : root.getRefusedCalls()) {
       message.refused_calls.push_back(fingerprint);
     }
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "ibishold/leaf_policy.h"
 
@@ -61,6 +62,9 @@
     return;
   }
   Condition& condition = this->conditions[taken->leaf];
+  condition.replied_at = now;
+  condition.silent_until = {};
+  condition.told = false;
   if (reply.load) {
     const double total = reply.load->running + reply.load->waiting;
     condition.others = std::max(0.0, total - static_cast<double>(condition.attempts.size()));
@@ -132,7 +136,7 @@
     failures = condition.failures * Decay(condition.failures_at, now, this->options.failure_memory);
     queue = static_cast<double>(condition.attempts.size()) +
             condition.others * Decay(condition.others_at, now, this->options.load_memory);
-    if (this->Stalled(leaf.id, now)) {
+    if (now < condition.silent_until || this->Stalled(leaf.id, now)) {
       penalty += kStalledMs;
     }
   }
@@ -193,6 +197,40 @@
   return now - oldest->second.sent_at > limit;
 }
 
+void LeafTracker::Overdue(AttemptId attempt, TimePoint now) {
+  const auto found = this->outstanding.find(attempt);
+  if (found == this->outstanding.end()) {
+    return;
+  }
+  Condition& condition = this->conditions[found->second.leaf];
+  if (condition.replied_at >= found->second.sent_at) {
+    return;
+  }
+  if (now >= condition.silent_until) {
+    condition.told = false;
+  }
+  condition.silent_until = now + this->options.silence_memory;
+  if (!condition.told) {
+    condition.told = true;
+    this->silent.push_back({.leaf = found->second.leaf, .waited = now - found->second.sent_at});
+  }
+}
+
+bool LeafTracker::HeardSilent(const SilentLeaf& news, TimePoint now) {
+  Condition& condition = this->conditions[news.leaf];
+  if (condition.replied_at >= now - news.waited) {
+    return false;
+  }
+  const bool known = now < condition.silent_until;
+  condition.silent_until = now + this->options.silence_memory;
+  condition.told = true;
+  return !known;
+}
+
+std::vector<SilentLeaf> LeafTracker::TakeSilent() {
+  return std::exchange(this->silent, {});
+}
+
 bool LeafTracker::TakeWarmUp(const LeafEntry& leaf, double rate, std::size_t vms, TimePoint now) {
   Condition& condition = this->conditions[leaf.id];
   if (rate <= 0 || now >= condition.cold_until) {
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -108,6 +108,7 @@
     }
   }
   this->LogCalls();
+  this->TellSilentLeaves();
   this->ScheduleCalls();
 }
 
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -278,11 +278,55 @@
   for (const std::uint64_t fingerprint : message.refused_calls) {
     this->coordinator.crash_guard().Refuse(fingerprint, now);
   }
+  for (const SilentLeaf& silent : message.silent_leaves) {
+    if (this->directory.Find(silent.leaf) != nullptr &&
+        this->coordinator.tracker().HeardSilent(silent, now)) {
+      this->LogSilentLeaf(silent, AddressText(from));
+    }
+  }
   if (joined) {
     this->UpdatePlan();
   }
 }
 
+template <PlatformTranslation Platform>
+void Node<Platform>::LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by) {
+  this->log.Write("leaf_silent", {{"leaf", silent.leaf.value},
+                                  {"waited_ms", MillisecondText(silent.waited)},
+                                  {"seen_by", seen_by}});
+}
+
+// Tells the VMs that send to the same leaves which of them do not answer.
+template <PlatformTranslation Platform>
+void Node<Platform>::TellSilentLeaves() {
+  GossipMessage message = {.silent_leaves = this->coordinator.tracker().TakeSilent()};
+  if (message.silent_leaves.empty()) {
+    return;
+  }
+  this->metrics.AddCounter("ibishold_silent_leaves_total", "Leaves seen silent by this VM")
+      .Add(message.silent_leaves.size());
+  for (const SilentLeaf& silent : message.silent_leaves) {
+    this->LogSilentLeaf(silent, "self");
+  }
+  const TimePoint now = BootClock::now();
+  std::vector<PeerAddress> targets = this->plan.coordinators;
+  if (this->plan.direct) {
+    targets.clear();
+    for (const Peer& peer : this->peer_table.Live(now)) {
+      targets.push_back(peer.address);
+    }
+  }
+  std::erase(targets, this->OwnAddress());
+  // A constant number of receivers bounds the messages of each VM at any size of the fleet.
+  for (std::size_t i = 0; i < std::min(targets.size(), this->options.silence_receivers); ++i) {
+    std::swap(targets[i], targets[i + this->random.Below(targets.size() - i)]);
+  }
+  targets.resize(std::min(targets.size(), this->options.silence_receivers));
+  message.sender = this->peer_table.self();
+  message.documents_as_of = this->mirror.as_of();
+  this->SendMessage(message, targets);
+}
+
 template <PlatformTranslation Platform>
 void Node<Platform>::SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now) {
   GossipMessage message = {
@@ -291,6 +335,12 @@
       .refused_calls = this->coordinator.crash_guard().RefusedFingerprints(now)};
   message.documents_as_of = this->mirror.as_of();
   message.refused_calls.resize(std::min<std::size_t>(message.refused_calls.size(), 16));
+  this->SendMessage(message, targets);
+}
+
+template <PlatformTranslation Platform>
+void Node<Platform>::SendMessage(const GossipMessage& message,
+                                 const std::vector<PeerAddress>& targets) {
   const std::string bytes = EncodeGossip(message);
   for (const PeerAddress& target : targets) {
     boost::system::error_code ignored;  // a lost datagram is made up for by the next one
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -13,7 +13,8 @@
                  .fan_out_rate = 2,
                  .stopping = true},
       .peers = {{.peer = {.address = {.ip = 1, .port = 2}}, .age = std::chrono::milliseconds(30)}},
-      .refused_calls = {5, 6}};
+      .refused_calls = {5, 6},
+      .silent_leaves = {{.leaf = LeafId("i-1"), .waited = std::chrono::milliseconds(31)}}};
   const std::string bytes = EncodeGossip(gossip);
   SUBCASE("gossip is read as it was written") {
     const auto read = DecodeGossip(bytes);
@@ -23,6 +24,9 @@
     CHECK(read->sender.data_centre == DataCentre("east"));
     REQUIRE(read->peers.size() == 1);
     CHECK(read->peers[0].age == std::chrono::milliseconds(30));
+    REQUIRE(read->silent_leaves.size() == 1);
+    CHECK(read->silent_leaves[0].leaf == LeafId("i-1"));
+    CHECK(read->silent_leaves[0].waited == std::chrono::milliseconds(31));
     CHECK(read->refused_calls == std::vector<std::uint64_t>{5, 6});
   }
   SUBCASE("a whole sample fits into one datagram without fragments") {
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include "ibishold/leaf_policy.h"
 
 namespace ibishold {
@@ -91,4 +93,62 @@
   }
 }
 
+TEST_CASE("a leaf that pauses is seen by one VM and avoided by all") {
+  // Pattern: each leaf stops for 100 to 200 ms every few seconds. A VM that sends to a shard seven
+  // times a second would find most pauses by itself, each with a request that waits.
+  constexpr std::size_t kVms = 13;
+  const Duration usual = milliseconds(10);
+  const LeafEntry paused = LeafNamed("paused");
+  const LeafEntry other = LeafNamed("other", "west");
+  std::vector<LeafTracker> vms;
+  for (std::size_t i = 0; i < kVms; ++i) {
+    vms.emplace_back(LeafTrackerOptions{.data_centre = DataCentre("east")}, i);
+  }
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  vms[0].Sent(1, paused, usual, now);
+  now += milliseconds(30);
+  vms[0].Overdue(1, now);
+  const std::vector<SilentLeaf> news = vms[0].TakeSilent();
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].waited == milliseconds(30));
+
+  SUBCASE("those that are told send elsewhere") {
+    for (LeafTracker& vm : vms) {
+      vm.HeardSilent(news[0], now);
+      CHECK(vm.Choose({&paused, &other}, usual, now) == &other);
+    }
+    SUBCASE("until the leaf answers them") {
+      vms[1].Sent(2, paused, usual, now);
+      vms[1].Replied(2, kSuccess, now);
+      CHECK(vms[1].Choose({&paused, &other}, usual, now) == &paused);
+    }
+    SUBCASE("or the news are old") {
+      now += milliseconds(200);
+      CHECK(vms[1].Choose({&paused, &other}, usual, now) == &paused);
+    }
+  }
+  SUBCASE("a VM that the leaf has answered meanwhile knows better") {
+    vms[1].Sent(2, paused, usual, now - milliseconds(20));
+    vms[1].Replied(2, kSuccess, now - milliseconds(10));
+    vms[1].HeardSilent(news[0], now);
+    CHECK(vms[1].Choose({&paused, &other}, usual, now) == &paused);
+  }
+  SUBCASE("a long request at a leaf that answers others is no silence") {
+    vms[1].Sent(2, paused, usual, now - milliseconds(30));
+    vms[1].Sent(3, paused, usual, now - milliseconds(20));
+    vms[1].Replied(3, kSuccess, now - milliseconds(10));
+    vms[1].Overdue(2, now);
+    CHECK(vms[1].TakeSilent().empty());
+  }
+  SUBCASE("one silence is told once, also when several requests meet it") {
+    vms[0].Sent(2, paused, usual, now - milliseconds(25));
+    vms[0].Overdue(2, now + milliseconds(5));
+    CHECK(vms[0].TakeSilent().empty());
+    vms[1].HeardSilent(news[0], now);
+    vms[1].Sent(3, paused, usual, now - milliseconds(25));
+    vms[1].Overdue(3, now + milliseconds(5));
+    CHECK(vms[1].TakeSilent().empty());
+  }
+}
+
 }  // namespace ibishold
