Count a leaf of another data centre as 1.5 times as slow

Test, seen failing with the former 1.15: leaf_tracker_test, 'one long answer does not send work to another data centre'.

--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -87,7 +87,7 @@
 
 struct LeafTrackerOptions {
   DataCentre data_centre;                                 // of this VM
-  double remote_factor = 1.15;                            // cost of another data centre
+  double remote_factor = 1.5;                             // cost of another data centre
   Duration remote_delay = std::chrono::milliseconds(2);   // added there, 2 ms
   Duration load_memory = std::chrono::milliseconds(150);  // half-life of a told load
   Duration slowness_memory = std::chrono::seconds(3);     // half-life of a measured slowness
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -34,6 +34,13 @@
   SUBCASE("the own data centre is preferred among equals") {
     CHECK(tracker.Choose({&far, &a}, usual, now) == &a);
   }
+  SUBCASE("one long answer does not send work to another data centre") {
+    // Pattern: service times spread by a third and more; each exchange with another data centre
+    // costs bytes on the links between them and a round trip.
+    answer_after(a, milliseconds(25));
+    now += milliseconds(25);
+    CHECK(tracker.Choose({&a, &far}, usual, now) == &a);
+  }
   SUBCASE("a leaf that pauses gets no new work until it answers") {
     // Pattern: each leaf stops for 100 to 200 ms now and then, with requests waiting at it.
     tracker.Sent(++attempt, a, usual, now);
--- a/tests/native/node_settings_test.cc
+++ b/tests/native/node_settings_test.cc
@@ -10,7 +10,8 @@
     "nodeName=front-bole-1\nrole=node\nip=10.1.0.9\nzone=bole\nregion=addis\n"
     "listen.front=10.1.0.9:8104\nlisten.ready=10.1.0.9:8108\nlisten.control=10.1.0.9:8106\n"
     "seeds=10.1.0.9:8106,nonsense,10.2.0.21:8106\nplatform.address=10.200.1.7:8102\n"
-    "bounds.graceS=6\nbounds.retrySlack=113\nbounds.retryWindowS=12\nlimits.cpuShare=0.17\nsomething.new=1\n";
+    "bounds.graceS=6\nbounds.retrySlack=113\nbounds.retryWindowS=12\nlimits.cpuShare=0."
+    "17\nsomething.new=1\n";
 
 std::string Without(const std::string& name) {
   std::string text = kText;
