Tell only of silent leaves that answered within the last second

Cause: found by reading: a VM that is cut off from sound leaves would tell all others that they are silent, again every 120 ms, and they would avoid leaves that serve them. A message also named any number of leaves, more than the receiver's buffer holds. Now a leaf is told of only within a second of its last answer to the teller, and a message names at most 24 leaves. Test: leaf_tracker_test, 'a leaf that this VM cannot reach is not told'.

--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -97,6 +97,9 @@
   // A leaf that was seen silent is avoided for this long, or until it answers: about what remains
   // of a leaf's pause of 100 to 200 ms (site files) when it is noticed.
   Duration silence_memory = std::chrono::milliseconds(120);
+  // Others are told only of leaves that answered this VM within this time: one that it cannot reach
+  // at all may well answer them.
+  Duration silence_told_within = std::chrono::seconds(1);
 };
 
 class LeafTracker {
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -81,6 +81,7 @@
   // Longest wait at a peer for news; a peer that freezes is noticed within it and the limit.
   Duration peer_wait = std::chrono::milliseconds(1000);
   Duration peer_limit = std::chrono::milliseconds(400);  // to answer beyond that wait
+  std::size_t silent_leaves_told = 24;                   // in one datagram of an Ethernet frame
   std::size_t silence_receivers = 16;                    // VMs that are told of a silent leaf
   // Right after the start, peers are heard of before the store is asked.
   Duration first_read_after = std::chrono::milliseconds(350);
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -214,7 +214,7 @@
     condition.told = false;
   }
   condition.silent_until = now + this->options.silence_memory;
-  if (!condition.told) {
+  if (!condition.told && now - condition.replied_at <= this->options.silence_told_within) {
     condition.told = true;
     this->silent.push_back({.leaf = found->second.leaf, .waited = now - found->second.sent_at});
   }
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -303,6 +303,8 @@
   if (message.silent_leaves.empty()) {
     return;
   }
+  message.silent_leaves.resize(
+      std::min(message.silent_leaves.size(), this->options.silent_leaves_told));
   this->metrics.AddCounter("ibishold_silent_leaves_total", "Leaves seen silent by this VM")
       .Add(message.silent_leaves.size());
   for (const SilentLeaf& silent : message.silent_leaves) {
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -112,6 +112,8 @@
     vms.emplace_back(LeafTrackerOptions{.data_centre = DataCentre("east")}, i);
   }
   TimePoint now = TimePoint() + std::chrono::hours(1);
+  vms[0].Sent(1, paused, usual, now - milliseconds(200));
+  vms[0].Replied(1, kSuccess, now - milliseconds(190));
   vms[0].Sent(1, paused, usual, now);
   now += milliseconds(30);
   vms[0].Overdue(1, now);
@@ -147,6 +149,16 @@
     vms[1].Overdue(2, now);
     CHECK(vms[1].TakeSilent().empty());
   }
+  SUBCASE("a leaf that this VM cannot reach is not told: others may reach it") {
+    // Pattern: packets pass one way only, or not at all, between one VM and a leaf that is sound.
+    vms[1].Sent(2, paused, usual, now - milliseconds(30));
+    vms[1].Overdue(2, now);
+    CHECK(vms[1].TakeSilent().empty());
+    CHECK(vms[1].Choose({&paused, &other}, usual, now) == &other);
+    vms[0].Sent(4, paused, usual, now + std::chrono::seconds(2));
+    vms[0].Overdue(4, now + std::chrono::milliseconds(2030));
+    CHECK(vms[0].TakeSilent().empty());
+  }
   SUBCASE("one silence is told once, also when several requests meet it") {
     vms[0].Sent(2, paused, usual, now - milliseconds(25));
     vms[0].Overdue(2, now + milliseconds(5));
