--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -140,6 +140,11 @@
   void ExecuteHandOver(std::vector<HandOverAction> actions);
   void EndHandOver(std::uint64_t ticket, int status, std::string_view outcome);
   void ScheduleHandOver();
+  void AnswerWaitingPeers(bool all);
+  PeerAddress OwnAddress() const;
+  std::size_t WidestRoute() const;
+
+  // Gossip between VMs (node_gossip.h).
   void ReceiveGossip();
   void SendGossip();
   void SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now);
@@ -148,9 +153,6 @@
   void LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by);
   void OnGossip(const GossipMessage& message, const PeerAddress& from);
   void UpdatePlan();
-  void AnswerWaitingPeers(bool all);
-  PeerAddress OwnAddress() const;
-  std::size_t WidestRoute() const;
 
   // Published documents (node_documents.h).
   void DriveFeed();
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -8,6 +8,7 @@
 #include "ibishold/node.h"
 #include "node/node_calls.h"
 #include "node/node_documents.h"
+#include "node/node_gossip.h"
 #include "node/node_peers.h"
 
 namespace ibishold {
