--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -55,6 +55,24 @@
   Duration waited{};  // by a request, without any answer of this leaf to this VM meanwhile
 };
 
+struct LeavingLeaf {
+  LeafId leaf;
+  std::uint64_t started = 0;  // LeafEntry::started of the run that leaves
+};
+
+// One leaf whose connection broke while it ran a call. Stable hashes, equal on every VM.
+struct LeafCrash {
+  std::uint64_t fingerprint = 0;  // of the call
+  std::uint64_t request = 0;      // of the caller's attempt
+  std::uint64_t service = 0;
+  std::uint64_t leaf = 0;  // of one run of the leaf
+};
+
+struct CallRefusal {
+  std::uint64_t fingerprint = 0;
+  Duration left{};  // that the call will still be refused
+};
+
 struct HeaderField {
   std::string name;
   std::string value;
@@ -64,10 +82,13 @@
   int status = 0;
   bool not_run = false;              // the leaf states that it did not run the request
   bool other_leaf = false;           // another leaf has this address
+  bool leaving = false;              // the leaf takes no new work from now on
   std::string signature;             // the leaf's signature of the answer; empty: unsigned
   std::vector<HeaderField> headers;  // those that concern the caller
   std::string body;
   std::optional<LoadReport> load;
+  // With status 503: the leaf wants no request from this VM for so long.
+  std::optional<Duration> come_back_after;
 
   bool success() const {
     return this->status >= 200 && this->status < 300 && !this->signature.empty();
--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -29,6 +29,7 @@
 
 struct CoordinatorOptions {
   LeafTrackerOptions tracker;
+  LeafNoticeOptions notices;
   ExtraSendOptions extra_sends;
   CrashGuardOptions crash_guard;
   // Kept back from the objective for this VM's own work on the answer.
@@ -57,7 +58,6 @@
   // Told to callers that are refused because no leaf may receive work or no configuration is known.
   Duration retry_no_leaf = std::chrono::milliseconds(400);
   Duration retry_no_configuration = std::chrono::milliseconds(250);
-  Duration retry_crash = std::chrono::seconds(30);
 };
 
 // What a call went through, for the log.
@@ -96,6 +96,8 @@
   CallId Begin(Call call, TimePoint now, Actions& actions);
   void OnSent(AttemptId attempt, TimePoint now);  // its first byte was handed to the network
   void OnReply(AttemptId attempt, LeafReply reply, TimePoint now, Actions& actions);
+  // What a leaf tells with any answer, also with one that no call waits for any more.
+  void OnNotice(const LeafId& leaf, std::uint64_t started, const LeafReply& reply, TimePoint now);
   void OnFailure(AttemptId attempt, AttemptFailure failure, TimePoint now, Actions& actions);
   void OnCallerLeft(CallId call, TimePoint now, Actions& actions);
   void OnTimer(TimePoint now, Actions& actions);
@@ -108,6 +110,7 @@
 
   std::size_t in_progress() const { return this->calls.size(); }
   LeafTracker& tracker() { return this->leaves; }
+  LeafNotices& notices() { return this->leaf_notices; }
   CrashGuard& crash_guard() { return this->crashes; }
 
  private:
@@ -118,12 +121,14 @@
   struct Attempt {
     AttemptId id = 0;
     LeafId leaf;
+    std::uint64_t leaf_started = 0;  // LeafEntry::started
     bool sent = false;
     TimePoint started{};
   };
   enum class ShardState : std::uint8_t { kWaiting, kRunning, kDone, kFailed };
   struct Shard {
     ServiceName service;
+    std::uint64_t service_hash = 0;
     ShardState state = ShardState::kWaiting;
     std::vector<Attempt> running;
     std::vector<LeafId> tried;
@@ -148,7 +153,6 @@
     std::size_t failed = 0;
     bool may_have_run = false;
     bool shed = false;                      // a leaf refused it as not run
-    bool broken = false;                    // a connection broke while a leaf ran it
     std::optional<LeafReply> failed_reply;  // of a leaf that ran it without success
     std::uint32_t sends = 0;
     std::uint32_t extra = 0;
@@ -176,11 +180,16 @@
                           Shard& shard,
                           TimePoint now,
                           Actions& actions);
-  std::vector<const LeafEntry*> Candidates(const Shard& shard) const;
+  std::vector<const LeafEntry*> Candidates(const Shard& shard, TimePoint now) const;
+  // When the first leaf of the shard that asked to be left alone takes work again; nothing if there
+  // is none.
+  std::optional<TimePoint> NextOpening(const Shard& shard, TimePoint now) const;
+  // When enough shards for an answer have a leaf again, as far as leaves have said so.
+  Duration ReturnTime(const Progress& progress, TimePoint now) const;
   bool Refuse(CallId id, Progress& progress, TimePoint now, Actions& actions);
   void Finish(CallId id, Progress& progress, Answer answer, TimePoint now, Actions& actions);
   static Answer Merged(Progress& progress, AnswerReason reason);
-  Answer Failure(Progress& progress, AnswerReason reason);
+  Answer Failure(Progress& progress, AnswerReason reason, TimePoint now);
   Answer Refusal(AnswerReason reason, Duration retry_after);
   static std::size_t LeastShards(const Progress& progress);
   Duration SecondSendDelay(const Route& route);
@@ -211,6 +220,7 @@
   std::size_t single_senders = 1;
   Random random;
   LeafTracker leaves;
+  LeafNotices leaf_notices;
   ExtraSendBudget budget;
   CrashGuard crashes;
   CallId last_call = 0;
--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -166,8 +166,9 @@
   kSpoiled,       // bytes that are no answer, or that no request asked for
 };
 
-// One request at a time. A reply is accepted only if `Accepts` says that it belongs to the request;
-// others are dropped, because a server may send a late second answer to an earlier request.
+// One request at a time. A server may send a second answer to an earlier request late, where the
+// next one is expected: a reply that names another request is dropped. One that names none is
+// accepted only for the first request of a connection, which then ends; later ones could be either.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   struct Handlers {
@@ -221,8 +222,7 @@
   std::optional<TimePoint> server_closes_at;
 };
 
-// ---- 3. ConnectionPool
-// --------------------------------------------------------------------------------
+// ---- 4. ConnectionPool --------------------------------------------------------------------------
 
 struct ConnectionPoolOptions {
   ClientConnectionOptions connection;
@@ -302,7 +302,7 @@
   ConnectionPoolCounts total;
 };
 
-// ---- 4. CallerPort ------------------------------------------------------------------------------
+// ---- 5. CallerPort ------------------------------------------------------------------------------
 
 struct CallerReply {
   int status = 200;
@@ -365,7 +365,7 @@
   InputMemory<Session> memory;
 };
 
-// ---- 5. EventLog --------------------------------------------------------------------------------
+// ---- 6. EventLog --------------------------------------------------------------------------------
 
 // One key=value pair of a line.
 struct LogField {
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -307,9 +307,11 @@
 struct GossipMessage {
   Peer sender;
   std::vector<PeerReport> peers;
-  std::vector<std::uint64_t> refused_calls;  // fingerprints of calls that crash leaves
+  std::vector<CallRefusal> refusals;         // calls that crash leaves
   std::uint64_t documents_as_of = 0;         // revision up to which the sender knows all documents
   std::vector<SilentLeaf> silent_leaves;     // just seen by the sender
+  std::vector<LeavingLeaf> leaving_leaves;   // of the last seconds
+  std::vector<LeafCrash> crashes;            // just seen by the sender
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -7,8 +7,9 @@
 // Index of this header:
 //   1. ExtraSendBudget   sends beyond the first of each call and shard
 //   2. ClassLatency      how long leaves usually take for a route
-//   3. LeafTracker       condition of each leaf as this VM sees it; choice of a leaf
-//   4. CrashGuard        calls that crash the leaves that run them
+//   3. LeafNotices       what leaves themselves asked for: to be left alone, for good or for a time
+//   4. LeafTracker       condition of each leaf as this VM sees it; choice of a leaf
+//   5. CrashGuard        calls that crash the leaves that run them
 
 #include <chrono>
 #include <cstdint>
@@ -83,7 +84,65 @@
   mutable std::size_t unsorted = 0;  // samples since `sorted` was made
 };
 
-// ---- 3. LeafTracker -----------------------------------------------------------------------------
+// ---- 3. LeafNotices -----------------------------------------------------------------------------
+
+struct LeafNoticeOptions {
+  // A wait longer than this is taken as this long; no overload lasts longer.
+  Duration longest = std::chrono::minutes(10);
+  // Peers are told that a leaf leaves for this long: longer than a VM takes to restart and to read
+  // the published entries.
+  Duration told_for = std::chrono::seconds(20);
+  std::size_t table_limit = 4096;  // leaves; the one heard of longest ago is forgotten
+};
+
+struct LeafNotice {
+  LeavingLeaf leaf;
+  bool leaving = false;  // else it wants to be left alone for `wait`
+  Duration wait{};
+};
+
+// What leaves told with their answers. A notice belongs to one run of a leaf: it outlives published
+// entries that still say ready, and removed entries that come back, and ends when the leaf starts
+// again.
+class LeafNotices {
+ public:
+  explicit LeafNotices(LeafNoticeOptions options = {});
+
+  // The leaf says that it leaves.
+  void Leaving(const LeafId& leaf, std::uint64_t started, TimePoint now);
+  // It said so to another VM. True if that is news; news of an earlier run of the leaf is ignored.
+  bool HeardLeaving(const LeavingLeaf& leaving, TimePoint now);
+  // The leaf wants nothing more from this VM for a time.
+  void ComeBackLater(const LeafId& leaf, std::uint64_t started, Duration wait, TimePoint now);
+
+  bool leaving(const LeafEntry& leaf) const;
+  // Nothing if the leaf takes work now.
+  std::optional<TimePoint> ClosedUntil(const LeafEntry& leaf, TimePoint now) const;
+  bool Refuses(const LeafEntry& leaf, TimePoint now) const {
+    return this->leaving(leaf) || this->ClosedUntil(leaf, now).has_value();
+  }
+  std::vector<LeavingLeaf> RecentlyLeaving(TimePoint now) const;
+  // What leaves told this VM itself since the last time.
+  std::vector<LeafNotice> TakeNews();
+
+ private:
+  struct Notice {
+    std::uint64_t started = 0;  // LeafEntry::started
+    bool leaving = false;
+    TimePoint closed_until{};
+    TimePoint heard_at{};
+  };
+
+  // Null if a later run of the leaf is known.
+  Notice* NoticeOf(const LeafId& leaf, std::uint64_t started, TimePoint now);
+  const Notice* Find(const LeafEntry& leaf) const;
+
+  LeafNoticeOptions options;
+  std::unordered_map<LeafId, Notice, absl::Hash<LeafId>> notices;
+  std::vector<LeafNotice> news;  // not taken yet
+};
+
+// ---- 4. LeafTracker -----------------------------------------------------------------------------
 
 struct LeafTrackerOptions {
   DataCentre data_centre;                                 // of this VM
@@ -179,35 +238,64 @@
   double told_load = 1;            // moving average; unknown counts as full
 };
 
-// ---- 4. CrashGuard ------------------------------------------------------------------------------
+// ---- 5. CrashGuard ------------------------------------------------------------------------------
 
 struct CrashGuardOptions {
-  std::size_t crash_limit = 3;                 // lost attempts after which a call is refused
-  Duration memory = std::chrono::seconds(30);  // 30 s
-  std::size_t table_limit = 1024;              // fingerprints
+  std::size_t crash_limit = 3;                     // crashed leaves that make a call a suspect; 3
+  double success_weight = 0.5;                     // crashes that one answer outweighs
+  Duration memory = std::chrono::seconds(60);      // of crashes that led to no refusal, 60 s
+  Duration refusal = std::chrono::minutes(10);     // as in the quarantine of ibishold-front
+  std::size_t table_limit = 1024;                  // fingerprints
+  std::size_t service_limit = 8;                   // remembered for one fingerprint
+  std::size_t leaf_limit = 8;                      // remembered for one service of a fingerprint
 };
 
-// Counts, for each fingerprint, the attempts whose connection broke while the leaf ran them. A
-// success clears the count, so a lost connection does not condemn a harmless call.
+// Finds calls that crash the leaves that run them, from attempts whose connection broke while a leaf
+// ran them. Every VM that sends gets every report, and judges alike:
+//   - a service where `crash_limit` leaves crashed in two requests or more gets the call no more;
+//     the other shards of a call that fans out still do;
+//   - a call that crashed leaves of `crash_limit` services in two requests or more is refused.
+// A call in flight when leaves crash for another reason meets that in one request only, and answers
+// outweigh crashes, so it is not condemned.
 class CrashGuard {
  public:
   explicit CrashGuard(CrashGuardOptions options = {});
 
-  // True if this made the fingerprint refused, which peers are to be told.
-  bool Broken(std::uint64_t fingerprint, TimePoint now);
-  void Succeeded(std::uint64_t fingerprint);
+  void Broken(const LeafCrash& crash, TimePoint now);  // seen by this VM
+  bool Heard(const LeafCrash& crash, TimePoint now);   // told by another VM; false: nothing new
+  void Succeeded(std::uint64_t fingerprint, std::uint64_t service);
+
   bool Refused(std::uint64_t fingerprint, TimePoint now) const;
-  void Refuse(std::uint64_t fingerprint, TimePoint now);  // told by a peer
-  std::vector<std::uint64_t> RefusedFingerprints(TimePoint now) const;
+  // How long a call, or its part for one service, will still be refused; zero: it is not.
+  Duration RefusedFor(std::uint64_t fingerprint, TimePoint now) const;
+  Duration BlockedFor(std::uint64_t fingerprint, std::uint64_t service, TimePoint now) const;
+
+  void HeardRefusal(const CallRefusal& refusal, TimePoint now);
+  std::vector<CallRefusal> Refusals(TimePoint now) const;
+  // Crashes that this VM saw since the last time.
+  std::vector<LeafCrash> TakeReports();
 
  private:
+  struct Service {
+    std::uint64_t name = 0;
+    double score = 0;                   // crashes less answers
+    std::vector<std::uint64_t> leaves;  // runs that crashed
+    TimePoint blocked_until{};
+  };
   struct Entry {
-    std::size_t crashes = 0;
+    std::vector<Service> services;
+    std::vector<std::uint64_t> requests;  // at most two: more make no difference
+    TimePoint refused_until{};
     TimePoint last{};
   };
 
+  Entry& EntryOf(std::uint64_t fingerprint, TimePoint now);
+  bool AddLeaf(Entry& entry, const LeafCrash& crash) const;  // false: it was known
+  void Judge(Entry& entry, TimePoint now) const;
+
   CrashGuardOptions options;
   std::unordered_map<std::uint64_t, Entry> entries;
+  std::vector<LeafCrash> reports;  // not taken yet
 };
 
 }  // namespace ibishold
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -83,6 +83,9 @@
   Duration peer_wait = std::chrono::milliseconds(1000);
   Duration peer_limit = std::chrono::milliseconds(400);  // to answer beyond that wait
   std::size_t silent_leaves_told = 24;                   // in one datagram of an Ethernet frame
+  std::size_t leaving_leaves_told = 8;                   // the same
+  std::size_t crashes_told = 12;                         // the same
+  std::size_t refusals_told = 8;                         // the same
   std::size_t silence_receivers = 16;                    // VMs that are told of a silent leaf
   // Right after the start, peers are heard of before the store is asked.
   Duration first_read_after = std::chrono::milliseconds(350);
@@ -150,8 +153,11 @@
   void SendGossip();
   void SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now);
   void SendMessage(const GossipMessage& message, const std::vector<PeerAddress>& targets);
-  void TellSilentLeaves();
+  void TellOfLeaves();
+  std::vector<PeerAddress> SendersToLeaves();
+  void SendNews(GossipMessage message, const std::vector<PeerAddress>& targets);
   void LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by);
+  void ActOnNotice(const LeafNotice& notice, const std::string& seen_by);
   void OnGossip(const GossipMessage& message, const PeerAddress& from);
   void UpdatePlan();
 
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -245,10 +245,31 @@
 struct PeerGossip {
   sender @0 :PeerFact;                  # age 0
   peers @1 :List(PeerFact);             # a sample of what the sender knows
-  refusedCalls @2 :List(UInt64);        # fingerprints of calls that crash leaves
+  unused2 @2 :List(UInt64);             # refusals without the time that is left
   documentsAsOf @3 :UInt64;             # revision up to which the sender knows all documents
   dataCentres @4 :List(Text);           # names that the facts refer to
   silentLeaves @5 :List(SilentLeaf);    # leaves that have just been seen not to answer
+  leavingLeaves @6 :List(LeavingLeaf);  # leaves that have said so in the last seconds
+  refusals @7 :List(CallRefusal);       # calls that crash leaves
+  crashes @8 :List(LeafCrash);          # leaves that have just crashed while they ran a call
+}
+
+struct CallRefusal {
+  fingerprint @0 :UInt64;
+  leftMs @1 :UInt32;                    # that the call will still be refused
+}
+
+# Stable hashes.
+struct LeafCrash {
+  fingerprint @0 :UInt64;               # of the call
+  request @1 :UInt64;                   # of the caller's attempt
+  service @2 :UInt64;
+  leaf @3 :UInt64;                      # of one run of the leaf
+}
+
+struct LeavingLeaf {
+  leaf @0 :Text;                        # id
+  started @1 :UInt64;                   # ms since 1970 at the start of the run that leaves
 }
 
 struct SilentLeaf {
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -98,6 +98,9 @@
 CAPNP_DECLARE_SCHEMA(b0705c4c73b37b14);
 CAPNP_DECLARE_SCHEMA(f7f43e0743c83015);
 CAPNP_DECLARE_SCHEMA(d8727c35eef01af1);
+CAPNP_DECLARE_SCHEMA(db229c8644aba313);
+CAPNP_DECLARE_SCHEMA(ea147d84111eaecb);
+CAPNP_DECLARE_SCHEMA(e1d6d331cbca6a98);
 CAPNP_DECLARE_SCHEMA(ec594d21c27eb449);
 CAPNP_DECLARE_SCHEMA(bb095bfb8aae7ea5);
 CAPNP_DECLARE_SCHEMA(c98bd7c8cc687f68);
@@ -533,7 +536,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CallRefusal {
+  CallRefusal() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db229c8644aba313, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeafCrash {
+  LeafCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea147d84111eaecb, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeavingLeaf {
+  LeavingLeaf() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1d6d331cbca6a98, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3418,8 +3466,8 @@
   inline bool hasPeers() const;
   inline  ::capnp::List< ::ibishold::wire::PeerFact,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
 
-  inline bool hasRefusedCalls() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRefusedCalls() const;
+  inline bool hasUnused2() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnused2() const;
 
   inline  ::uint64_t getDocumentsAsOf() const;
 
@@ -3429,6 +3477,15 @@
   inline bool hasSilentLeaves() const;
   inline  ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>::Reader getSilentLeaves() const;
 
+  inline bool hasLeavingLeaves() const;
+  inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Reader getLeavingLeaves() const;
+
+  inline bool hasRefusals() const;
+  inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Reader getRefusals() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3471,13 +3528,13 @@
   inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::ibishold::wire::PeerFact,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::PeerFact,  ::capnp::Kind::STRUCT>> disownPeers();
 
-  inline bool hasRefusedCalls();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRefusedCalls();
-  inline void setRefusedCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRefusedCalls(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRefusedCalls(unsigned int size);
-  inline void adoptRefusedCalls(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRefusedCalls();
+  inline bool hasUnused2();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnused2();
+  inline void setUnused2( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnused2(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnused2(unsigned int size);
+  inline void adoptUnused2(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnused2();
 
   inline  ::uint64_t getDocumentsAsOf();
   inline void setDocumentsAsOf( ::uint64_t value);
@@ -3497,6 +3554,27 @@
   inline void adoptSilentLeaves(::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::SilentLeaf,  ::capnp::Kind::STRUCT>> disownSilentLeaves();
 
+  inline bool hasLeavingLeaves();
+  inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Builder getLeavingLeaves();
+  inline void setLeavingLeaves( ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Builder initLeavingLeaves(unsigned int size);
+  inline void adoptLeavingLeaves(::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>> disownLeavingLeaves();
+
+  inline bool hasRefusals();
+  inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Builder getRefusals();
+  inline void setRefusals( ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Builder initRefusals(unsigned int size);
+  inline void adoptRefusals(::capnp::Orphan< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>> disownRefusals();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3524,6 +3602,264 @@
 };
 #endif  // !CAPNP_LITE
 
+class CallRefusal::Reader {
+public:
+  typedef CallRefusal Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint32_t getLeftMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CallRefusal::Builder {
+public:
+  typedef CallRefusal Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CallRefusal::Pipeline {
+public:
+  typedef CallRefusal Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeafCrash::Reader {
+public:
+  typedef LeafCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint64_t getLeaf() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeafCrash::Builder {
+public:
+  typedef LeafCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint64_t getLeaf();
+  inline void setLeaf( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeafCrash::Pipeline {
+public:
+  typedef LeafCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeavingLeaf::Reader {
+public:
+  typedef LeavingLeaf Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLeaf() const;
+  inline  ::capnp::Text::Reader getLeaf() const;
+
+  inline  ::uint64_t getStarted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingLeaf::Builder {
+public:
+  typedef LeavingLeaf Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLeaf();
+  inline  ::capnp::Text::Builder getLeaf();
+  inline void setLeaf( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeaf(unsigned int size);
+  inline void adoptLeaf(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeaf();
+
+  inline  ::uint64_t getStarted();
+  inline void setStarted( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingLeaf::Pipeline {
+public:
+  typedef LeavingLeaf Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SilentLeaf::Reader {
 public:
   typedef SilentLeaf Reads;
@@ -7467,40 +7803,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerGossip::Reader::hasRefusedCalls() const {
+inline bool PeerGossip::Reader::hasUnused2() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerGossip::Builder::hasRefusedCalls() {
+inline bool PeerGossip::Builder::hasUnused2() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerGossip::Reader::getRefusedCalls() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerGossip::Reader::getUnused2() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerGossip::Builder::getRefusedCalls() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerGossip::Builder::getUnused2() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerGossip::Builder::setRefusedCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void PeerGossip::Builder::setUnused2( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void PeerGossip::Builder::setRefusedCalls(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void PeerGossip::Builder::setUnused2(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerGossip::Builder::initRefusedCalls(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerGossip::Builder::initUnused2(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerGossip::Builder::adoptRefusedCalls(
+inline void PeerGossip::Builder::adoptUnused2(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerGossip::Builder::disownRefusedCalls() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerGossip::Builder::disownUnused2() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
@@ -7591,6 +7927,240 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool PeerGossip::Reader::hasLeavingLeaves() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGossip::Builder::hasLeavingLeaves() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Reader PeerGossip::Reader::getLeavingLeaves() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::getLeavingLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerGossip::Builder::setLeavingLeaves( ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::initLeavingLeaves(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void PeerGossip::Builder::adoptLeavingLeaves(
+    ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>> PeerGossip::Builder::disownLeavingLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeavingLeaf,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool PeerGossip::Reader::hasRefusals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGossip::Builder::hasRefusals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Reader PeerGossip::Reader::getRefusals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::getRefusals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PeerGossip::Builder::setRefusals( ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::initRefusals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void PeerGossip::Builder::adoptRefusals(
+    ::capnp::Orphan< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>> PeerGossip::Builder::disownRefusals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::CallRefusal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool PeerGossip::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGossip::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Reader PeerGossip::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerGossip::Builder::setCrashes( ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PeerGossip::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>> PeerGossip::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CallRefusal::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallRefusal::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallRefusal::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CallRefusal::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallRefusal::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CallRefusal::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeafCrash::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeafCrash::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeafCrash::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeafCrash::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeafCrash::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeafCrash::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeafCrash::Reader::getLeaf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeafCrash::Builder::getLeaf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setLeaf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeavingLeaf::Reader::hasLeaf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingLeaf::Builder::hasLeaf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingLeaf::Reader::getLeaf() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingLeaf::Builder::getLeaf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingLeaf::Builder::setLeaf( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingLeaf::Builder::initLeaf(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingLeaf::Builder::adoptLeaf(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingLeaf::Builder::disownLeaf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingLeaf::Reader::getStarted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingLeaf::Builder::getStarted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingLeaf::Builder::setStarted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SilentLeaf::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -11,6 +11,7 @@
       directory(directory),
       random(seed),
       leaves(this->options.tracker, random.Next()),
+      leaf_notices(this->options.notices),
       budget(this->options.extra_sends),
       crashes(this->options.crash_guard) {}
 
@@ -70,10 +71,9 @@
                  now, actions);
     return true;
   }
-  if (this->crashes.Refused(progress.call.fingerprint, now)) {
-    this->Finish(id, progress,
-                 this->Refusal(AnswerReason::kCrashesLeaves, this->options.retry_crash), now,
-                 actions);
+  if (const Duration left = this->crashes.RefusedFor(progress.call.fingerprint, now);
+      left > Duration::zero()) {
+    this->Finish(id, progress, this->Refusal(AnswerReason::kCrashesLeaves, left), now, actions);
     return true;
   }
   const Route& route = *progress.route;
@@ -88,21 +88,60 @@
     progress.shards[0].service = route.targets[pick.Pick(route.targets)].service;
   }
   std::size_t served = 0;
-  for (const Shard& shard : progress.shards) {
-    served += this->Candidates(shard).empty() ? 0 : 1;
+  Duration blocked{};
+  for (Shard& shard : progress.shards) {
+    shard.service_hash = StableHash(shard.service.value);
+    const Duration left =
+        this->crashes.BlockedFor(progress.call.fingerprint, shard.service_hash, now);
+    blocked = std::max(blocked, left);
+    served += left > Duration::zero() || this->Candidates(shard, now).empty() ? 0 : 1;
   }
   if (served >= std::max<std::size_t>(1, LeastShards(progress))) {
     return false;
   }
-  this->Finish(id, progress, this->Refusal(AnswerReason::kNoLeaf, this->options.retry_no_leaf), now,
-               actions);
+  if (blocked > Duration::zero()) {
+    this->Finish(id, progress, this->Refusal(AnswerReason::kCrashesLeaves, blocked), now, actions);
+    return true;
+  }
+  this->Finish(id, progress,
+               this->Refusal(AnswerReason::kNoLeaf, this->ReturnTime(progress, now)), now, actions);
   return true;
 }
 
-std::vector<const LeafEntry*> Coordinator::Candidates(const Shard& shard) const {
+std::optional<TimePoint> Coordinator::NextOpening(const Shard& shard, TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const LeafEntry* leaf : this->directory.Usable(shard.service)) {
+    const auto closed = this->leaf_notices.ClosedUntil(*leaf, now);
+    if (closed && !this->leaf_notices.leaving(*leaf) && !this->leaves.misplaced(*leaf)) {
+      next = std::min(next.value_or(*closed), *closed);
+    }
+  }
+  return next;
+}
+
+Duration Coordinator::ReturnTime(const Progress& progress, TimePoint now) const {
+  std::vector<Duration> waits;
+  for (const Shard& shard : progress.shards) {
+    const auto usable = this->directory.Usable(shard.service);
+    const bool open = std::any_of(usable.begin(), usable.end(), [&](const LeafEntry* leaf) {
+      return !this->leaves.misplaced(*leaf) && !this->leaf_notices.Refuses(*leaf, now);
+    });
+    const std::optional<TimePoint> opening = this->NextOpening(shard, now);
+    waits.push_back(open      ? Duration::zero()
+                    : opening ? *opening - now
+                              : this->options.retry_no_leaf);
+  }
+  const auto last_needed =
+      waits.begin() + static_cast<std::ptrdiff_t>(
+                          std::clamp<std::size_t>(LeastShards(progress), 1, waits.size()) - 1);
+  std::nth_element(waits.begin(), last_needed, waits.end());
+  return *last_needed;
+}
+
+std::vector<const LeafEntry*> Coordinator::Candidates(const Shard& shard, TimePoint now) const {
   std::vector<const LeafEntry*> candidates = this->directory.Usable(shard.service);
   std::erase_if(candidates, [&](const LeafEntry* leaf) {
-    return this->leaves.misplaced(*leaf) ||
+    return this->leaves.misplaced(*leaf) || this->leaf_notices.Refuses(*leaf, now) ||
            std::find(shard.tried.begin(), shard.tried.end(), leaf->id) != shard.tried.end();
   });
   return candidates;
@@ -128,13 +167,21 @@
                          TimePoint now,
                          Actions& actions) {
   const Route& route = *progress.route;
+  if (this->crashes.BlockedFor(progress.call.fingerprint, shard.service_hash, now) >
+      Duration::zero()) {
+    if (shard.running.empty()) {
+      shard.state = ShardState::kFailed;
+    }
+    NoteOnce(progress, now, "crashes_leaves", shard, {});
+    return false;
+  }
   const Duration usual = this->Usual(route);
-  std::vector<const LeafEntry*> candidates = this->Candidates(shard);
+  std::vector<const LeafEntry*> candidates = this->Candidates(shard, now);
   if (candidates.empty() && shard.attempts == 0 && shard.running.empty() && !progress.shed) {
     // No leaf could be reached: any of them may be asked again. Leaves that refused for want of
     // room are left alone; the caller is told when to come back.
     shard.tried.clear();
-    candidates = this->Candidates(shard);
+    candidates = this->Candidates(shard, now);
   }
   const bool any = !candidates.empty() && shard.launches < kLaunchLimit;
   double rate = 0;
@@ -154,8 +201,15 @@
   }
   if (leaf == nullptr) {
     if (!extra) {
-      shard.state = any ? ShardState::kWaiting : ShardState::kFailed;
-      shard.retry_at = now + this->options.busy_retry;
+      // A leaf that takes work again soon enough is worth waiting for: its answer comes in time.
+      const std::optional<TimePoint> opening = this->NextOpening(shard, now);
+      const bool opens = opening && shard.launches < kLaunchLimit &&
+                         *opening + usual < std::min(progress.cut_at, progress.deadline);
+      if (opens) {
+        shard.tried.clear();
+      }
+      shard.state = any || opens ? ShardState::kWaiting : ShardState::kFailed;
+      shard.retry_at = any ? now + this->options.busy_retry : opening.value_or(now);
     }
     NoteOnce(progress, now, any ? "leaves_busy" : "no_leaf", shard, {});
     return false;
@@ -172,7 +226,8 @@
   }
   const AttemptId attempt = ++this->last_attempt;
   this->attempts[attempt] = {id, static_cast<std::size_t>(&shard - progress.shards.data())};
-  shard.running.push_back({.id = attempt, .leaf = leaf->id, .started = now});
+  shard.running.push_back(
+      {.id = attempt, .leaf = leaf->id, .leaf_started = leaf->started, .started = now});
   shard.tried.push_back(leaf->id);
   shard.state = ShardState::kRunning;
   shard.second_at = now + this->SecondSendDelay(route);
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -24,12 +24,12 @@
   if (progress.done + progress.failed == total) {
     this->Finish(id, progress,
                  enough ? Merged(progress, AnswerReason::kPartialShardsFailed)
-                        : this->Failure(progress, AnswerReason::kAttemptsUsed),
+                        : this->Failure(progress, AnswerReason::kAttemptsUsed, now),
                  now, actions);
     return;
   }
   if (total - progress.failed < LeastShards(progress)) {
-    this->Finish(id, progress, this->Failure(progress, AnswerReason::kTooFewShards), now, actions);
+    this->Finish(id, progress, this->Failure(progress, AnswerReason::kTooFewShards, now), now, actions);
     return;
   }
   if (now >= progress.cut_at && enough) {
@@ -39,7 +39,7 @@
   if (now >= progress.deadline) {
     this->Finish(id, progress,
                  enough ? Merged(progress, AnswerReason::kPartialAtLimit)
-                        : this->Failure(progress, AnswerReason::kTimeLimit),
+                        : this->Failure(progress, AnswerReason::kTimeLimit, now),
                  now, actions);
     return;
   }
@@ -98,12 +98,6 @@
                                      .linger = left ? Duration::zero() : this->options.linger});
     }
   }
-  const bool success = answer.kind == AnswerKind::kPassed || answer.kind == AnswerKind::kMerged;
-  if (progress.broken && !success && !left) {
-    this->crashes.Broken(progress.call.fingerprint, now);
-  } else if (success) {
-    this->crashes.Succeeded(progress.call.fingerprint);
-  }
   summary.notes = std::move(progress.notes);
   this->summaries.push_back(std::move(summary));
   this->timers.erase({progress.timer, id});
@@ -128,7 +122,7 @@
   return answer;
 }
 
-Answer Coordinator::Failure(Progress& progress, AnswerReason reason) {
+Answer Coordinator::Failure(Progress& progress, AnswerReason reason, TimePoint now) {
   if (progress.failed_reply) {
     return {.kind = AnswerKind::kPassed,
             .reason = AnswerReason::kLeafAnswer,
@@ -145,9 +139,10 @@
         .reason = reason};
   }
   if (progress.shed) {
-    return this->Refusal(AnswerReason::kOverload, 2 * this->Usual(*progress.route));
+    return this->Refusal(AnswerReason::kOverload, std::max(2 * this->Usual(*progress.route),
+                                                           this->ReturnTime(progress, now)));
   }
-  return this->Refusal(reason, this->options.retry_no_leaf);
+  return this->Refusal(reason, std::max(this->options.retry_no_leaf, this->ReturnTime(progress, now)));
 }
 
 Answer Coordinator::Refusal(AnswerReason reason, Duration retry_after) {
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -47,6 +47,21 @@
   return taken;
 }
 
+void Coordinator::OnNotice(const LeafId& leaf,
+                           std::uint64_t started,
+                           const LeafReply& reply,
+                           TimePoint now) {
+  if (reply.other_leaf) {
+    return;  // it speaks for the leaf that has the address now
+  }
+  if (reply.leaving) {
+    this->leaf_notices.Leaving(leaf, started, now);
+  }
+  if (reply.come_back_after) {
+    this->leaf_notices.ComeBackLater(leaf, started, *reply.come_back_after, now);
+  }
+}
+
 void Coordinator::OnReply(AttemptId attempt, LeafReply reply, TimePoint now, Actions& actions) {
   this->leaves.Replied(attempt, reply, now);
   const auto [progress, shard] = this->FindAttempt(attempt);
@@ -56,6 +71,7 @@
   const CallId id = this->attempts.at(attempt).first;
   const std::optional<Attempt> taken = this->TakeAttempt(attempt, *shard);
   const Route& route = *progress->route;
+  this->OnNotice(taken->leaf, taken->leaf_started, reply, now);
   if (reply.other_leaf) {
     if (const LeafEntry* leaf = this->directory.Find(taken->leaf)) {
       this->leaves.Misplaced(leaf->id, leaf->revision);
@@ -76,6 +92,7 @@
       });
   if (reply.success() && !repeated_signature) {
     this->LatencyOf(route).Record(now - taken->started);
+    this->crashes.Succeeded(progress->call.fingerprint, shard->service_hash);
     shard->state = ShardState::kDone;
     shard->reply = std::move(reply);
     if (route.fan_out()) {
@@ -123,7 +140,13 @@
     --shard->attempts;
   } else {
     progress->may_have_run = true;
-    progress->broken = progress->broken || failure == AttemptFailure::kBroken;
+    if (failure == AttemptFailure::kBroken) {
+      this->crashes.Broken({.fingerprint = progress->call.fingerprint,
+                            .request = StableHash(progress->call.request_id),
+                            .service = shard->service_hash,
+                            .leaf = StableHash(taken->leaf.value, taken->leaf_started)},
+                           now);
+    }
   }
   this->AttemptEnded(id, *progress, *shard, not_run, now, actions);
 }
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -232,6 +232,8 @@
   this->Read();
 }
 
+// A request may be on its way: one that has arrived is served, and a connection that was opened just
+// now gets the time to send one.
 void CallerPort::Session::CloseIfIdle() {
   if (this->phase == Phase::kIdle && this->input.empty()) {
     this->Close();
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -38,6 +38,11 @@
 constexpr double kMillis = 1000;  // of PeerFact.processorMillis
 constexpr double kTenths = 10;    // of PeerFact.fanOutTenths
 
+std::uint32_t Milliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 void Fill(wire::PeerFact::Builder fact, const Peer& peer, Duration age, CentreNames& centres) {
   fact.setAddress(peer.address.ip);
   fact.setPort(peer.address.port);
@@ -46,8 +51,7 @@
   fact.setProcessorMillis(Scaled(peer.processor_share, kMillis));
   fact.setFanOutTenths(Scaled(peer.fan_out_rate, kTenths));
   fact.setStopping(peer.stopping);
-  fact.setAgeMs(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+  fact.setAgeMs(Milliseconds(age));
 }
 
 PeerReport ReadFact(wire::PeerFact::Reader fact, capnp::List<capnp::Text>::Reader centres) {
@@ -99,17 +103,28 @@
   for (unsigned i = 0; i < message.peers.size(); ++i) {
     Fill(peers[i], message.peers[i].peer, message.peers[i].age, centres);
   }
-  auto refused = root.initRefusedCalls(static_cast<unsigned>(message.refused_calls.size()));
-  for (unsigned i = 0; i < message.refused_calls.size(); ++i) {
-    refused.set(i, message.refused_calls[i]);
+  auto refusals = root.initRefusals(static_cast<unsigned>(message.refusals.size()));
+  for (unsigned i = 0; i < message.refusals.size(); ++i) {
+    refusals[i].setFingerprint(message.refusals[i].fingerprint);
+    refusals[i].setLeftMs(Milliseconds(message.refusals[i].left));
+  }
+  auto crashes = root.initCrashes(static_cast<unsigned>(message.crashes.size()));
+  for (unsigned i = 0; i < message.crashes.size(); ++i) {
+    crashes[i].setFingerprint(message.crashes[i].fingerprint);
+    crashes[i].setRequest(message.crashes[i].request);
+    crashes[i].setService(message.crashes[i].service);
+    crashes[i].setLeaf(message.crashes[i].leaf);
   }
   root.setDocumentsAsOf(message.documents_as_of);
   auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
   for (unsigned i = 0; i < message.silent_leaves.size(); ++i) {
     silent[i].setLeaf(message.silent_leaves[i].leaf.value);
-    silent[i].setWaitedMs(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(message.silent_leaves[i].waited)
-            .count()));
+    silent[i].setWaitedMs(Milliseconds(message.silent_leaves[i].waited));
+  }
+  auto leaving = root.initLeavingLeaves(static_cast<unsigned>(message.leaving_leaves.size()));
+  for (unsigned i = 0; i < message.leaving_leaves.size(); ++i) {
+    leaving[i].setLeaf(message.leaving_leaves[i].leaf.value);
+    leaving[i].setStarted(message.leaving_leaves[i].started);
   }
   auto names = root.initDataCentres(static_cast<unsigned>(centres.all().size()));
   for (unsigned i = 0; i < centres.all().size(); ++i) {
@@ -130,8 +145,19 @@
       message.silent_leaves.push_back({.leaf = LeafId(silent.getLeaf().cStr()),
                                        .waited = std::chrono::milliseconds(silent.getWaitedMs())});
     }
-    for (const std::uint64_t fingerprint : root.getRefusedCalls()) {
-      message.refused_calls.push_back(fingerprint);
+    for (const auto leaving : root.getLeavingLeaves()) {
+      message.leaving_leaves.push_back(
+          {.leaf = LeafId(leaving.getLeaf().cStr()), .started = leaving.getStarted()});
+    }
+    for (const auto refusal : root.getRefusals()) {
+      message.refusals.push_back({.fingerprint = refusal.getFingerprint(),
+                                  .left = std::chrono::milliseconds(refusal.getLeftMs())});
+    }
+    for (const auto crash : root.getCrashes()) {
+      message.crashes.push_back({.fingerprint = crash.getFingerprint(),
+                                 .request = crash.getRequest(),
+                                 .service = crash.getService(),
+                                 .leaf = crash.getLeaf()});
     }
   });
   return read ? std::optional<GossipMessage>(std::move(message)) : std::nullopt;
--- a/src/leaf_policy/crash_guard.cc
+++ b/src/leaf_policy/crash_guard.cc
@@ -1,51 +1,139 @@
 #include <algorithm>
+#include <utility>
 
 #include "ibishold/leaf_policy.h"
 
 namespace ibishold {
 
+namespace {
+
+template <typename Item>
+bool Contains(const std::vector<Item>& items, const Item& item) {
+  return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+}  // namespace
+
 CrashGuard::CrashGuard(CrashGuardOptions options) : options(options) {}
 
-bool CrashGuard::Broken(std::uint64_t fingerprint, TimePoint now) {
+CrashGuard::Entry& CrashGuard::EntryOf(std::uint64_t fingerprint, TimePoint now) {
   if (this->entries.size() >= this->options.table_limit && !this->entries.contains(fingerprint)) {
     this->entries.erase(std::min_element(
         this->entries.begin(), this->entries.end(),
         [](const auto& a, const auto& b) { return a.second.last < b.second.last; }));
   }
   Entry& entry = this->entries[fingerprint];
-  if (entry.crashes > 0 && now - entry.last > this->options.memory) {
-    entry.crashes = 0;
+  if (now - entry.last > this->options.memory && entry.refused_until <= now) {
+    entry = {};
   }
-  ++entry.crashes;
   entry.last = now;
-  return entry.crashes == this->options.crash_limit;
+  return entry;
+}
+
+void CrashGuard::Broken(const LeafCrash& crash, TimePoint now) {
+  if (this->Heard(crash, now)) {
+    this->reports.push_back(crash);
+  }
+}
+
+bool CrashGuard::Heard(const LeafCrash& crash, TimePoint now) {
+  Entry& entry = this->EntryOf(crash.fingerprint, now);
+  const bool new_request = !Contains(entry.requests, crash.request) && entry.requests.size() < 2;
+  if (new_request) {
+    entry.requests.push_back(crash.request);
+  }
+  const bool new_leaf = this->AddLeaf(entry, crash);
+  this->Judge(entry, now);
+  return new_request || new_leaf;
+}
+
+bool CrashGuard::AddLeaf(Entry& entry, const LeafCrash& crash) const {
+  auto service = std::find_if(entry.services.begin(), entry.services.end(),
+                              [&](const Service& known) { return known.name == crash.service; });
+  if (service == entry.services.end()) {
+    if (entry.services.size() >= this->options.service_limit) {
+      return false;  // enough is known to judge the call
+    }
+    service = entry.services.insert(service, {.name = crash.service});
+  }
+  if (Contains(service->leaves, crash.leaf) || service->leaves.size() >= this->options.leaf_limit) {
+    return false;  // one run of a leaf crashes once
+  }
+  service->leaves.push_back(crash.leaf);
+  service->score += 1;
+  return true;
+}
+
+void CrashGuard::Judge(Entry& entry, TimePoint now) const {
+  if (entry.requests.size() < 2) {
+    return;
+  }
+  const auto limit = static_cast<double>(this->options.crash_limit);
+  for (Service& service : entry.services) {
+    if (service.score >= limit) {
+      service.blocked_until = now + this->options.refusal;
+    }
+  }
+  if (static_cast<double>(entry.services.size()) >= limit) {
+    entry.refused_until = now + this->options.refusal;
+  }
 }
 
-void CrashGuard::Succeeded(std::uint64_t fingerprint) {
-  this->entries.erase(fingerprint);
+void CrashGuard::Succeeded(std::uint64_t fingerprint, std::uint64_t service_name) {
+  const auto found = this->entries.find(fingerprint);
+  if (found == this->entries.end()) {
+    return;
+  }
+  for (Service& service : found->second.services) {
+    if (service.name == service_name) {
+      service.score = std::max(0.0, service.score - this->options.success_weight);
+    }
+  }
 }
 
 bool CrashGuard::Refused(std::uint64_t fingerprint, TimePoint now) const {
+  return this->RefusedFor(fingerprint, now) > Duration::zero();
+}
+
+Duration CrashGuard::RefusedFor(std::uint64_t fingerprint, TimePoint now) const {
   const auto found = this->entries.find(fingerprint);
-  return found != this->entries.end() && found->second.crashes >= this->options.crash_limit &&
-         now - found->second.last <= this->options.memory;
+  return found == this->entries.end() ? Duration::zero()
+                                      : std::max(Duration::zero(), found->second.refused_until - now);
 }
 
-void CrashGuard::Refuse(std::uint64_t fingerprint, TimePoint now) {
-  if (!this->Refused(fingerprint, now)) {
-    this->Broken(fingerprint, now);
-    this->entries[fingerprint].crashes = this->options.crash_limit;
+Duration CrashGuard::BlockedFor(std::uint64_t fingerprint,
+                                std::uint64_t service_name,
+                                TimePoint now) const {
+  const auto found = this->entries.find(fingerprint);
+  if (found == this->entries.end()) {
+    return Duration::zero();
+  }
+  for (const Service& service : found->second.services) {
+    if (service.name == service_name) {
+      return std::max(Duration::zero(), service.blocked_until - now);
+    }
   }
+  return Duration::zero();
 }
 
-std::vector<std::uint64_t> CrashGuard::RefusedFingerprints(TimePoint now) const {
-  std::vector<std::uint64_t> refused;
+void CrashGuard::HeardRefusal(const CallRefusal& refusal, TimePoint now) {
+  Entry& entry = this->EntryOf(refusal.fingerprint, now);
+  entry.refused_until =
+      std::max(entry.refused_until, now + std::min(refusal.left, this->options.refusal));
+}
+
+std::vector<CallRefusal> CrashGuard::Refusals(TimePoint now) const {
+  std::vector<CallRefusal> refusals;
   for (const auto& [fingerprint, entry] : this->entries) {
-    if (this->Refused(fingerprint, now)) {
-      refused.push_back(fingerprint);
+    if (entry.refused_until > now) {
+      refusals.push_back({.fingerprint = fingerprint, .left = entry.refused_until - now});
     }
   }
-  return refused;
+  return refusals;
+}
+
+std::vector<LeafCrash> CrashGuard::TakeReports() {
+  return std::exchange(this->reports, {});
 }
 
 }  // namespace ibishold
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -108,7 +108,7 @@
     }
   }
   this->LogCalls();
-  this->TellSilentLeaves();
+  this->TellOfLeaves();
   this->ScheduleCalls();
 }
 
--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -40,8 +40,11 @@
     joined = this->peer_table.Heard(report, now) || joined;
   }
   this->feed.HeardOf(from, message.documents_as_of, this->mirror.as_of(), now);
-  for (const std::uint64_t fingerprint : message.refused_calls) {
-    this->coordinator.crash_guard().Refuse(fingerprint, now);
+  for (const CallRefusal& refusal : message.refusals) {
+    this->coordinator.crash_guard().HeardRefusal(refusal, now);
+  }
+  for (const LeafCrash& crash : message.crashes) {
+    this->coordinator.crash_guard().Heard(crash, now);
   }
   for (const SilentLeaf& silent : message.silent_leaves) {
     if (this->directory.Find(silent.leaf) != nullptr &&
@@ -49,11 +52,26 @@
       this->LogSilentLeaf(silent, AddressText(from));
     }
   }
+  for (const LeavingLeaf& leaving : message.leaving_leaves) {
+    if (this->coordinator.notices().HeardLeaving(leaving, now)) {
+      this->ActOnNotice({.leaf = leaving, .leaving = true}, AddressText(from));
+    }
+  }
   if (joined) {
     this->UpdatePlan();
   }
 }
 
+// Requests that were not sent yet go elsewhere.
+template <PlatformTranslation Platform>
+void Node<Platform>::ActOnNotice(const LeafNotice& notice, const std::string& seen_by) {
+  this->pool.FailWaiting(notice.leaf.leaf);
+  this->log.Write("leaf_notice", {{"leaf", notice.leaf.leaf.value},
+                                  {"notice", notice.leaving ? "leaving" : "come_back_later"},
+                                  {"wait_ms", MillisecondText(notice.wait)},
+                                  {"seen_by", seen_by}});
+}
+
 template <PlatformTranslation Platform>
 void Node<Platform>::LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by) {
   this->log.Write("leaf_silent", {{"leaf", silent.leaf.value},
@@ -61,25 +79,13 @@
                                   {"seen_by", seen_by}});
 }
 
-// Tells the VMs that send to the same leaves which of them do not answer.
+// Some of the VMs that send to the same leaves as this one.
 template <PlatformTranslation Platform>
-void Node<Platform>::TellSilentLeaves() {
-  std::vector<SilentLeaf> silent_leaves = this->coordinator.tracker().TakeSilent();
-  if (silent_leaves.empty()) {
-    return;
-  }
-  // Those left out are told when a request meets them again.
-  silent_leaves.resize(std::min(silent_leaves.size(), this->options.silent_leaves_told));
-  this->metrics.AddCounter("ibishold_silent_leaves_total", "Leaves seen silent by this VM")
-      .Add(silent_leaves.size());
-  for (const SilentLeaf& silent : silent_leaves) {
-    this->LogSilentLeaf(silent, "self");
-  }
-  const TimePoint now = BootClock::now();
+std::vector<PeerAddress> Node<Platform>::SendersToLeaves() {
   std::vector<PeerAddress> targets = this->plan.coordinators;
   if (this->plan.direct) {
     targets.clear();
-    for (const Peer& peer : this->peer_table.Live(now)) {
+    for (const Peer& peer : this->peer_table.Live(BootClock::now())) {
       targets.push_back(peer.address);
     }
   }
@@ -89,21 +95,58 @@
     std::swap(targets[i], targets[i + this->random.Below(targets.size() - i)]);
   }
   targets.resize(std::min(targets.size(), this->options.silence_receivers));
-  this->SendMessage({.sender = this->peer_table.self(),
-                     .documents_as_of = this->mirror.as_of(),
-                     .silent_leaves = std::move(silent_leaves)},
-                    targets);
+  return targets;
+}
+
+// Acts on what leaves told, and tells other VMs which leaves leave, crash or do not answer.
+template <PlatformTranslation Platform>
+void Node<Platform>::TellOfLeaves() {
+  GossipMessage message = {.silent_leaves = this->coordinator.tracker().TakeSilent(),
+                           .crashes = this->coordinator.crash_guard().TakeReports()};
+  for (const LeafNotice& notice : this->coordinator.notices().TakeNews()) {
+    this->ActOnNotice(notice, "self");
+    if (notice.leaving) {
+      message.leaving_leaves.push_back(notice.leaf);
+    }
+  }
+  if (message.silent_leaves.empty() && message.leaving_leaves.empty() && message.crashes.empty()) {
+    return;
+  }
+  this->metrics.AddCounter("ibishold_silent_leaves_total", "Leaves seen silent by this VM")
+      .Add(message.silent_leaves.size());
+  for (const SilentLeaf& silent : message.silent_leaves) {
+    this->LogSilentLeaf(silent, "self");
+  }
+  this->SendNews(std::move(message), this->SendersToLeaves());
+}
+
+// News of leaves beside the regular gossip. What does not fit is told when a request meets it again,
+// or with the next gossip.
+template <PlatformTranslation Platform>
+void Node<Platform>::SendNews(GossipMessage message, const std::vector<PeerAddress>& targets) {
+  const auto cut = [](auto& items, std::size_t most) { items.resize(std::min(items.size(), most)); };
+  cut(message.leaving_leaves, this->options.leaving_leaves_told);
+  cut(message.crashes, this->options.crashes_told);
+  cut(message.silent_leaves, message.crashes.empty() && message.leaving_leaves.empty()
+                                 ? this->options.silent_leaves_told
+                                 : this->options.silent_leaves_told / 2);
+  message.sender = this->peer_table.self();
+  message.documents_as_of = this->mirror.as_of();
+  this->SendMessage(message, targets);
 }
 
 template <PlatformTranslation Platform>
 void Node<Platform>::SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now) {
-  GossipMessage message = {
-      .sender = this->peer_table.self(),
-      .peers = this->peer_table.Sample(now),
-      .refused_calls = this->coordinator.crash_guard().RefusedFingerprints(now)};
+  GossipMessage message = {.sender = this->peer_table.self(),
+                           .peers = this->peer_table.Sample(now),
+                           .refusals = this->coordinator.crash_guard().Refusals(now)};
   message.documents_as_of = this->mirror.as_of();
-  message.refused_calls.resize(std::min<std::size_t>(message.refused_calls.size(), 16));
+  message.refusals.resize(std::min(message.refusals.size(), this->options.refusals_told));
   this->SendMessage(message, targets);
+  std::vector<LeavingLeaf> leaving = this->coordinator.notices().RecentlyLeaving(now);
+  if (!leaving.empty()) {
+    this->SendNews({.leaving_leaves = std::move(leaving)}, targets);
+  }
 }
 
 template <PlatformTranslation Platform>
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -62,7 +62,12 @@
                              : Platform::OwnerOf(reply,
                                                  this->open_calls.at(found->second).request_id);
                 },
-            }),
+            .on_stray =
+                [this](const LeafId& leaf, std::uint64_t leaf_started, const HttpReply& reply) {
+                  this->coordinator.OnNotice(leaf, leaf_started, Platform::DecodeLeafReply(reply),
+                                             BootClock::now());
+                  this->TellOfLeaves();
+                }}),
       callers(
           context,
           {.on_request =
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -67,7 +67,7 @@
   }
 
   CallId Begin(const std::string& path, std::uint64_t fingerprint = 1) {
-    const CallId id = this->coordinator.Begin({.request_id = "r",
+    const CallId id = this->coordinator.Begin({.request_id = this->vm + std::to_string(++this->requests),
                                                .host = "h",
                                                .path = path,
                                                .time_left = milliseconds(1000),
@@ -77,6 +77,14 @@
     return id;
   }
 
+  // A crashed leaf is back with the same id.
+  void RestartLeaf(LeafEntry leaf) {
+    ++leaf.started;
+    leaf.revision = ++this->revision;
+    this->directory.Put(leaf, this->now);
+    this->coordinator.tracker().Forget(leaf.id);
+  }
+
   // Every send of the list of actions has left.
   void MarkSent() {
     for (const SendAction& send : this->Sends()) {
@@ -126,6 +134,7 @@
 
   TimePoint start = TimePoint() + std::chrono::hours(1);
   TimePoint now = this->start;
+  std::string vm = "vm-1";  // prefix of the requests' ids
   LeafDirectory directory;
   Coordinator coordinator;
   Actions actions;
@@ -143,6 +152,7 @@
   }
 
   std::uint64_t revision = 0;
+  std::uint64_t requests = 0;
 };
 
 }  // namespace ibishold
--- /dev/null
+++ b/tests/dispatch/leaf_notice_test.cc
@@ -0,0 +1,133 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/dispatch_fixture.h"
+
+namespace ibishold {
+
+namespace {
+
+LeafReply Notice(bool leaving, std::optional<Duration> come_back_after = std::nullopt) {
+  return {.status = 503,
+          .not_run = true,
+          .leaving = leaving,
+          .come_back_after = come_back_after};
+}
+
+}  // namespace
+
+TEST_CASE("work goes around a leaf that leaves") {
+  DispatchFixture fixture;
+  fixture.Begin("/one/1");
+  REQUIRE(fixture.Sends().size() == 1);
+  const SendAction first = fixture.Sends()[0];
+  fixture.Clear();
+  fixture.coordinator.OnReply(first.attempt, Notice(true), fixture.now, fixture.actions);
+  REQUIRE(fixture.Sends().size() == 1);
+  CHECK(fixture.Sends()[0].leaf.id != first.leaf.id);
+  const auto sends_to_it = [&] {
+    int sends = 0;
+    for (int i = 0; i < 20; ++i) {
+      fixture.Clear();
+      fixture.Begin("/one/1", 100 + static_cast<std::uint64_t>(i));
+      for (const SendAction& send : fixture.Sends()) {
+        sends += send.leaf.id == first.leaf.id ? 1 : 0;
+        fixture.Reply(send);
+      }
+    }
+    return sends;
+  };
+  CHECK(sends_to_it() == 0);
+  SUBCASE("also when its entry is published once more as ready") {
+    LeafEntry entry = first.leaf;
+    entry.revision += 100;
+    fixture.directory.Put(entry, fixture.now);
+    CHECK(sends_to_it() == 0);
+  }
+  SUBCASE("also when its entry went and came back") {
+    // Pattern: entries lapse while the store is away and return with it.
+    fixture.directory.Remove(first.leaf.id, first.leaf.revision + 100, fixture.now);
+    fixture.coordinator.tracker().Forget(first.leaf.id);
+    LeafEntry entry = first.leaf;
+    entry.revision += 200;
+    fixture.directory.Put(entry, fixture.now);
+    CHECK(sends_to_it() == 0);
+  }
+  SUBCASE("until it has started again") {
+    LeafEntry entry = first.leaf;
+    entry.revision += 100;
+    entry.started += 1;
+    fixture.directory.Put(entry, fixture.now);
+    CHECK(sends_to_it() > 0);
+  }
+}
+
+TEST_CASE("what an answer tells counts although no call waits for it") {
+  DispatchFixture fixture;
+  const LeafEntry leaf = *fixture.directory.Usable(ServiceName("single"))[0];
+  fixture.coordinator.OnNotice(leaf.id, leaf.started, {.status = 200, .leaving = true},
+                               fixture.now);
+  CHECK(fixture.coordinator.notices().leaving(leaf));
+  SUBCASE("but not if another leaf has the address") {
+    const LeafEntry other = *fixture.directory.Usable(ServiceName("single"))[1];
+    fixture.coordinator.OnNotice(other.id, other.started,
+                                 {.status = 421, .other_leaf = true, .leaving = true}, fixture.now);
+    CHECK_FALSE(fixture.coordinator.notices().leaving(other));
+  }
+}
+
+TEST_CASE("a leaf that asks to come back later gets nothing for so long") {
+  DispatchFixture fixture;
+  const auto close = [&](const char* leaf, Duration wait) {
+    fixture.coordinator.OnNotice(LeafId(leaf), 1, Notice(false, wait), fixture.now);
+  };
+  SUBCASE("the other leaf of the service serves") {
+    close("singlea", milliseconds(900));
+    for (int i = 0; i < 20; ++i) {
+      fixture.Clear();
+      fixture.Begin("/one/1");
+      REQUIRE(fixture.Sends().size() == 1);
+      CHECK(fixture.Sends()[0].leaf.id == LeafId("singleb"));
+      fixture.Reply(fixture.Sends()[0]);
+    }
+  }
+  SUBCASE("all of them closed: refused at once, with the time at which the first opens") {
+    // Who waits: nobody; the caller is told when there will be room.
+    close("singlea", milliseconds(900));
+    close("singleb", milliseconds(500));
+    fixture.Begin("/one/1");
+    CHECK(fixture.Sends().empty());
+    REQUIRE(fixture.Answers().size() == 1);
+    CHECK(fixture.Answers()[0].kind == AnswerKind::kRefused);
+    CHECK(ToMilliseconds(fixture.Answers()[0].retry_after) >= 350);  // 500 ms with jitter of 0.3
+    CHECK(ToMilliseconds(fixture.Answers()[0].retry_after) <= 650);
+    SUBCASE("and served afterwards") {
+      fixture.Clear();
+      fixture.RunUntil(milliseconds(510));
+      fixture.Begin("/one/1");
+      CHECK(fixture.Sends().size() == 1);
+    }
+  }
+  SUBCASE("a shard whose leaves open soon waits for them, the others are asked at once") {
+    close("shard-0a", milliseconds(30));
+    close("shard-0b", milliseconds(800));
+    fixture.Begin("/all/1");
+    CHECK(fixture.Sends().size() == 3);
+    fixture.RunUntil(milliseconds(29));
+    CHECK(fixture.Sends().size() == 3);
+    fixture.RunUntil(milliseconds(31));
+    REQUIRE(fixture.Sends().size() == 4);
+    CHECK(fixture.Sends()[3].leaf.id == LeafId("shard-0a"));
+  }
+  SUBCASE("a shard whose leaves open too late is left out, and the answer says so") {
+    close("shard-0a", milliseconds(800));
+    close("shard-0b", milliseconds(800));
+    fixture.Begin("/all/1");
+    for (const SendAction& send : fixture.Sends()) {
+      fixture.Reply(send);
+    }
+    REQUIRE(fixture.Answers().size() == 1);
+    CHECK(fixture.Answers()[0].missing_shards == 1);
+  }
+}
+
+}  // namespace ibishold
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -13,8 +13,10 @@
                  .fan_out_rate = 2,
                  .stopping = true},
       .peers = {{.peer = {.address = {.ip = 1, .port = 2}}, .age = std::chrono::milliseconds(30)}},
-      .refused_calls = {5, 6},
-      .silent_leaves = {{.leaf = LeafId("i-1"), .waited = std::chrono::milliseconds(31)}}};
+      .refusals = {{.fingerprint = 5, .left = std::chrono::milliseconds(600)}},
+      .silent_leaves = {{.leaf = LeafId("i-1"), .waited = std::chrono::milliseconds(31)}},
+      .leaving_leaves = {{.leaf = LeafId("i-2"), .started = 77}},
+      .crashes = {{.fingerprint = 1, .request = 2, .service = 3, .leaf = 4}}};
   const std::string bytes = EncodeGossip(gossip);
   SUBCASE("gossip is read as it was written") {
     const auto read = DecodeGossip(bytes);
@@ -27,16 +29,35 @@
     REQUIRE(read->silent_leaves.size() == 1);
     CHECK(read->silent_leaves[0].leaf == LeafId("i-1"));
     CHECK(read->silent_leaves[0].waited == std::chrono::milliseconds(31));
-    CHECK(read->refused_calls == std::vector<std::uint64_t>{5, 6});
+    REQUIRE(read->refusals.size() == 1);
+    CHECK(read->refusals[0].fingerprint == 5);
+    CHECK(read->refusals[0].left == std::chrono::milliseconds(600));
+    REQUIRE(read->leaving_leaves.size() == 1);
+    CHECK(read->leaving_leaves[0].leaf == LeafId("i-2"));
+    CHECK(read->leaving_leaves[0].started == 77);
+    REQUIRE(read->crashes.size() == 1);
+    CHECK(read->crashes[0].request == 2);
+    CHECK(read->crashes[0].leaf == 4);
   }
   SUBCASE("a whole sample fits into one datagram without fragments") {
     gossip.peers.assign(PeerTableOptions{}.sample, gossip.peers[0]);
-    gossip.refused_calls.assign(16, 7);
+    gossip.refusals.assign(8, gossip.refusals[0]);
+    gossip.silent_leaves.clear();
+    gossip.leaving_leaves.clear();
+    gossip.crashes.clear();
     for (PeerReport& report : gossip.peers) {
       report.peer.data_centre = DataCentre("shymkent-a");
     }
     CHECK(EncodeGossip(gossip).size() <= 1472);  // of an Ethernet frame
   }
+  SUBCASE("so does news of leaves") {
+    gossip.peers.clear();
+    gossip.refusals.clear();
+    gossip.silent_leaves.assign(12, {.leaf = LeafId("i-0123456789abcdef")});
+    gossip.leaving_leaves.assign(8, {.leaf = LeafId("i-0123456789abcdef")});
+    gossip.crashes.assign(12, gossip.crashes[0]);
+    CHECK(EncodeGossip(gossip).size() <= 1472);
+  }
   SUBCASE("document updates keep bytes as they are") {
     const DocumentUpdate update = {
         .as_of = 4,
--- /dev/null
+++ b/tests/leaf_policy/leaf_notices_test.cc
@@ -0,0 +1,75 @@
+#include <doctest/doctest.h>
+
+#include "ibishold/leaf_policy.h"
+
+namespace ibishold {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a leaf that says it leaves") {
+  // Pattern: entries in the store lag behind. A leaf tells its callers first that it leaves, and an
+  // entry that still says ready must not bring it back.
+  LeafNotices notices;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  const LeafEntry leaf = {.id = LeafId("i-1"), .started = 7, .revision = 1};
+  notices.Leaving(leaf.id, leaf.started, now);
+  CHECK(notices.leaving(leaf));
+
+  SUBCASE("stays away whatever is published of this run") {
+    LeafEntry later = leaf;
+    later.revision = 9;
+    CHECK(notices.Refuses(later, now + std::chrono::hours(2)));
+  }
+  SUBCASE("is a new leaf after its restart") {
+    LeafEntry restarted = leaf;
+    restarted.started = 8;
+    CHECK_FALSE(notices.Refuses(restarted, now));
+    SUBCASE("and a late answer of the earlier run, here or at a peer, does not speak for it") {
+      notices.ComeBackLater(leaf.id, 8, seconds(1), now);
+      notices.Leaving(leaf.id, 7, now);
+      CHECK_FALSE(notices.HeardLeaving({.leaf = leaf.id, .started = 7}, now));
+      CHECK_FALSE(notices.leaving(restarted));
+    }
+  }
+  SUBCASE("is told to peers for a time, also to those that start later") {
+    REQUIRE(notices.RecentlyLeaving(now + seconds(10)).size() == 1);
+    CHECK(notices.RecentlyLeaving(now + std::chrono::minutes(5)).empty());
+  }
+  SUBCASE("is news once") {
+    CHECK(notices.TakeNews().size() == 1);
+    notices.Leaving(leaf.id, leaf.started, now);
+    CHECK(notices.TakeNews().empty());
+    CHECK_FALSE(notices.HeardLeaving({.leaf = leaf.id, .started = 7}, now));
+  }
+}
+
+TEST_CASE("a leaf that wants to be left alone for a time") {
+  LeafNotices notices;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  const LeafEntry leaf = {.id = LeafId("i-1"), .started = 7};
+  notices.ComeBackLater(leaf.id, leaf.started, seconds(2), now);
+  CHECK(notices.ClosedUntil(leaf, now) == now + seconds(2));
+  CHECK(notices.Refuses(leaf, now + milliseconds(1999)));
+  CHECK_FALSE(notices.Refuses(leaf, now + seconds(2)));
+  SUBCASE("a shorter wait does not shorten the first one") {
+    notices.ComeBackLater(leaf.id, leaf.started, milliseconds(100), now);
+    CHECK(notices.ClosedUntil(leaf, now) == now + seconds(2));
+  }
+  SUBCASE("peers are not told: it spoke to this VM only") {
+    CHECK(notices.RecentlyLeaving(now).empty());
+  }
+  SUBCASE("no wait closes a leaf for good") {
+    notices.ComeBackLater(leaf.id, leaf.started, std::chrono::hours(100), now);
+    CHECK_FALSE(notices.Refuses(leaf, now + LeafNoticeOptions{}.longest));
+  }
+  SUBCASE("the table stays bounded") {
+    LeafNotices small({.table_limit = 2});
+    for (int i = 0; i < 5; ++i) {
+      small.Leaving(LeafId(std::to_string(i)), 1, now + milliseconds(i));
+    }
+    CHECK(small.RecentlyLeaving(now).size() == 2);
+  }
+}
+
+}  // namespace ibishold
--- a/tests/native/headers_test.cc
+++ b/tests/native/headers_test.cc
@@ -52,6 +52,26 @@
                      .headers = {{"X-Ibishold-Response-Stamp", "s"}, {"Content-Encoding", "gzip"}}})
                     .success());
   }
+  SUBCASE("that it leaves, with any status") {
+    CHECK(DecodeLeafReply({.status = 200, .headers = {{"server-leaving", "1"}}}).leaving);
+    CHECK(DecodeLeafReply({.status = 503, .headers = {{"Server-Leaving", " 1"}}}).leaving);
+    CHECK_FALSE(DecodeLeafReply({.status = 200, .headers = {{"Server-Leaving", "0"}}}).leaving);
+    CHECK_FALSE(DecodeLeafReply({.status = 200}).leaving);
+  }
+  SUBCASE("when to come back, with 503 only") {
+    const auto after = [](int status, const char* text) {
+      return DecodeLeafReply({.status = status, .headers = {{"Retry-After", text}}})
+          .come_back_after;
+    };
+    CHECK(after(503, "2") == std::chrono::seconds(2));
+    CHECK(after(503, "0.25") == milliseconds(250));
+    CHECK_FALSE(after(200, "2").has_value());
+    CHECK_FALSE(after(503, "").has_value());
+    CHECK_FALSE(after(503, "-1").has_value());
+    CHECK_FALSE(after(503, "nan").has_value());
+    CHECK_FALSE(after(503, "soon").has_value());
+    CHECK(after(503, "1e300") == std::chrono::hours(24));
+  }
   SUBCASE("the request that it names") {
     const HttpReply named = {.status = 200, .headers = {{"X-Ibishold-Request-Id", "id1"}}};
     CHECK(OwnerOf(named, "id1") == ReplyOwner::kRequest);
