Cut off no request at a planned stop: serve what is accepted, end the rest with a true answer

Cause: 2.6 s after the signal the listener was closed with the connections that the kernel held for it, and idle connections with bytes that had arrived; at the end of the grace time calls in progress lost their connection without an answer. Now waiting connections are accepted first, one that was just accepted gets 500 ms to send, arrived bytes are read, and 600 ms before the platform kills the process each call is answered: enough shards as a partial answer, else refused only if nothing can have run.

Shown first: caller_port_test, 'a connection that waits to be accepted, or has just been, is served', failed on the old code (1 of 3 requests read).

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -135,9 +135,11 @@
   kCallerLeft,
   kOverload,
   kCoordinatorLost,  // the VM that coordinated the call is gone or silent
+  kPartialAtStop,    // this process was about to end
+  kStopping,         // the same, without enough shards
 };
 
-inline constexpr std::array<std::string_view, 15> kAnswerReasonNames = {"complete",
+inline constexpr std::array<std::string_view, 17> kAnswerReasonNames = {"complete",
                                                                         "partial_at_objective",
                                                                         "partial_shards_failed",
                                                                         "partial_at_limit",
@@ -151,7 +153,9 @@
                                                                         "crashes_leaves",
                                                                         "caller_left",
                                                                         "overload",
-                                                                        "coordinator_lost"};
+                                                                        "coordinator_lost",
+                                                                        "partial_at_stop",
+                                                                        "stopping"};
 
 struct Answer {
   AnswerKind kind = AnswerKind::kRefused;
--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -101,6 +101,8 @@
   void OnFailure(AttemptId attempt, AttemptFailure failure, TimePoint now, Actions& actions);
   void OnCallerLeft(CallId call, TimePoint now, Actions& actions);
   void OnTimer(TimePoint now, Actions& actions);
+  // Answers every call with what is there.
+  void EndAll(TimePoint now, Actions& actions);
 
   // When OnTimer is due; nothing if no call waits.
   std::optional<TimePoint> NextTimer() const;
--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -351,6 +351,8 @@
   class Session;
 
   void Accept();
+  void StartSession(boost::asio::ip::tcp::socket socket);
+  void AcceptPending();
 
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
--- a/include/ibishold/hand_over.h
+++ b/include/ibishold/hand_over.h
@@ -86,6 +86,8 @@
                  std::vector<HandOverAction>& actions);
   void OnCallerLeft(std::uint64_t ticket, std::vector<HandOverAction>& actions);
   void OnTimer(TimePoint now, std::vector<HandOverAction>& actions);
+  // Answers every call as failed: this process is about to end.
+  void EndAll(std::vector<HandOverAction>& actions);
   std::optional<TimePoint> NextTimer() const;
   std::size_t in_progress() const { return this->calls.size(); }
 
@@ -114,7 +116,7 @@
             std::vector<HandOverAction>& actions);
   std::optional<PeerAddress> Choose(const Progress& progress);
   void Silent(std::uint64_t ticket, const Progress& progress, std::vector<HandOverAction>& actions);
-  void Fail(std::uint64_t ticket, std::vector<HandOverAction>& actions);
+  void Fail(std::uint64_t ticket, AnswerReason reason, std::vector<HandOverAction>& actions);
   void WakeAt(std::uint64_t ticket, Progress& progress, TimePoint at);
   void DropProbe(Progress& progress, std::uint64_t ticket, std::vector<HandOverAction>& actions);
   void End(std::uint64_t ticket, std::vector<HandOverAction>& actions);
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -74,7 +74,9 @@
   // the balancer asks for readiness once a second and drops a VM after two misses.
   Duration stop_idle_after = std::chrono::milliseconds(2600);
   // Before the platform kills the process, it ends by itself.
-  Duration stop_margin = std::chrono::milliseconds(400);
+  Duration stop_margin = std::chrono::milliseconds(300);
+  // Before that, calls in progress get their final answer, which takes this long to be written.
+  Duration stop_answer_time = std::chrono::milliseconds(300);
   std::size_t assumed_vms = 15;  // until the peers are known
   PeerTableOptions peers;
   FleetPlanOptions plan;
@@ -182,6 +184,7 @@
   void ReloadSettings();
   void BeginStop();
   void CheckStopped();
+  void GiveFinalAnswers();
   void Tick();
   bool ready() const;
   static constexpr Duration kTick = std::chrono::milliseconds(100);
@@ -241,6 +244,7 @@
   bool documents_in_touch = false;
 
   std::optional<TimePoint> stop_began;
+  bool final_answers_given = false;
   TimePoint started_at{};
   TimePoint settings_read_at{};
   TimePoint warmed_at{};
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -183,6 +183,23 @@
                {.kind = AnswerKind::kTimedOut, .reason = AnswerReason::kCallerLeft}, now, actions);
 }
 
+void Coordinator::EndAll(TimePoint now, Actions& actions) {
+  std::vector<CallId> open;
+  open.reserve(this->calls.size());
+  for (const auto& [id, progress] : this->calls) {
+    open.push_back(id);
+  }
+  for (const CallId id : open) {
+    Progress& progress = this->calls.at(id);
+    const bool enough = progress.route->fan_out() && progress.done > 0 &&
+                        progress.done >= LeastShards(progress);
+    this->Finish(id, progress,
+                 enough ? Merged(progress, AnswerReason::kPartialAtStop)
+                        : this->Failure(progress, AnswerReason::kStopping, now),
+                 now, actions);
+  }
+}
+
 void Coordinator::OnTimer(TimePoint now, Actions& actions) {
   while (!this->timers.empty() && this->timers.begin()->first <= now) {
     const CallId id = this->timers.begin()->second;
--- a/src/edge/caller_port.cc
+++ b/src/edge/caller_port.cc
@@ -20,13 +20,34 @@
           return;
         }
         if (!error) {
-          ++this->total.connections;
-          const auto session = std::make_shared<Session>(std::move(socket), *this);
-          this->sessions.insert(session);
-          session->Start();
+          this->StartSession(std::move(socket));
         }
         this->Accept();
       });
 }
 
+void CallerPort::StartSession(asio::ip::tcp::socket socket) {
+  ++this->total.connections;
+  const auto session = std::make_shared<Session>(std::move(socket), *this);
+  this->sessions.insert(session);
+  session->Start();
+}
+
+// Connections that the kernel has accepted would be reset with the acceptor.
+void CallerPort::AcceptPending() {
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  boost::system::error_code error;
+  this->acceptor.cancel(error);
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(this->context);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->StartSession(std::move(socket));
+    }
+  }
+}
+
 }  // namespace ibishold
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -18,6 +18,7 @@
 constexpr std::chrono::seconds kBodyLimit{30};             // to receive a body, 30 s
 constexpr std::chrono::seconds kSilenceLimit{5};           // unacknowledged bytes, 5 s
 constexpr std::chrono::milliseconds kUnknownRoundTrip{6};  // if the kernel cannot tell, 6 ms
+constexpr std::chrono::milliseconds kFreshTime{500};       // to send a first request, 500 ms
 constexpr const char* kFullRetryAfter = "1";               // s, told when input memory is used up
 
 }  // namespace
@@ -168,6 +169,7 @@
   }
   this->phase = Phase::kWaiting;
   this->ticket = ++this->port.last_ticket;
+  ++this->requests;
   ++this->port.total.requests;
   this->port.tickets[this->ticket] = this;
   const Duration round_trip = MeasuredRoundTrip(this->socket).value_or(kUnknownRoundTrip);
@@ -235,7 +237,13 @@
 // A request may be on its way: one that has arrived is served, and a connection that was opened just
 // now gets the time to send one.
 void CallerPort::Session::CloseIfIdle() {
-  if (this->phase == Phase::kIdle && this->input.empty()) {
+  if (this->phase != Phase::kIdle || !this->input.empty()) {
+    return;
+  }
+  boost::system::error_code error;
+  const bool arrived = this->socket.available(error) > 0 && !error;
+  const bool fresh = this->requests == 0 && BootClock::now() - this->accepted_at < kFreshTime;
+  if (!arrived && !fresh) {
     this->Close();
   }
 }
@@ -301,6 +309,7 @@
 
 void CallerPort::CloseIdle() {
   this->closing = true;
+  this->AcceptPending();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
   const auto open = this->sessions;
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -44,6 +44,8 @@
   std::array<char, 8192> chunk{};
   std::string output;
   std::uint64_t ticket = 0;
+  std::uint64_t requests = 0;  // read on this connection
+  TimePoint accepted_at = BootClock::now();
   bool keep_alive = true;
   bool head_only = false;
   bool reading = false;
--- a/src/hand_over/hand_over.cc
+++ b/src/hand_over/hand_over.cc
@@ -164,17 +164,29 @@
     this->Send(ticket, progress, now, actions);
     return;
   }
-  this->Fail(ticket, actions);
+  this->Fail(ticket, AnswerReason::kCoordinatorLost, actions);
 }
 
-void HandOver::Fail(std::uint64_t ticket, std::vector<HandOverAction>& actions) {
-  actions.push_back(
-      {.step = HandOverStep::kAnswer,
-       .ticket = ticket,
-       .answer = {.kind = AnswerKind::kFailed, .reason = AnswerReason::kCoordinatorLost}});
+void HandOver::Fail(std::uint64_t ticket,
+                    AnswerReason reason,
+                    std::vector<HandOverAction>& actions) {
+  actions.push_back({.step = HandOverStep::kAnswer,
+                     .ticket = ticket,
+                     .answer = {.kind = AnswerKind::kFailed, .reason = reason}});
   this->End(ticket, actions);
 }
 
+void HandOver::EndAll(std::vector<HandOverAction>& actions) {
+  std::vector<std::uint64_t> open;
+  open.reserve(this->calls.size());
+  for (const auto& [ticket, progress] : this->calls) {
+    open.push_back(ticket);
+  }
+  for (const std::uint64_t ticket : open) {
+    this->Fail(ticket, AnswerReason::kStopping, actions);
+  }
+}
+
 void HandOver::OnCallerLeft(std::uint64_t ticket, std::vector<HandOverAction>& actions) {
   if (this->calls.contains(ticket)) {
     this->End(ticket, actions);
@@ -216,7 +228,7 @@
   actions.push_back({.step = HandOverStep::kSuspect,
                      .ticket = ticket,
                      .coordinator = progress.running.back().coordinator});
-  this->Fail(ticket, actions);
+  this->Fail(ticket, AnswerReason::kCoordinatorLost, actions);
 }
 
 std::optional<TimePoint> HandOver::NextTimer() const {
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -238,7 +238,13 @@
   }
   this->callers.CloseIdle();
   const bool finished = this->callers.open_connections() == 0 && this->peer_port.waiting() == 0;
-  if (!finished && since < this->settings.stop_time - this->options.stop_margin) {
+  const Duration limit = this->settings.stop_time - this->options.stop_margin;
+  if (!finished && since >= limit - this->options.stop_answer_time && !this->final_answers_given) {
+    this->final_answers_given = true;
+    this->GiveFinalAnswers();
+    return;
+  }
+  if (!finished && since < limit) {
     return;
   }
   this->log.WriteAlways("stopped", {{"calls", std::to_string(this->open_calls.size())},
@@ -248,6 +254,18 @@
   this->context.stop();
 }
 
+// The process is about to end: each call gets what is there, or the truth about what may have run.
+template <PlatformTranslation Platform>
+void Node<Platform>::GiveFinalAnswers() {
+  const TimePoint now = BootClock::now();
+  Actions actions;
+  this->coordinator.EndAll(now, actions);
+  this->Execute(std::move(actions));
+  std::vector<HandOverAction> hand_over_actions;
+  this->hand_over.EndAll(hand_over_actions);
+  this->ExecuteHandOver(std::move(hand_over_actions));
+}
+
 template <PlatformTranslation Platform>
 void Node<Platform>::Tick() {
   const TimePoint now = BootClock::now();
--- a/tests/edge/caller_port_test.cc
+++ b/tests/edge/caller_port_test.cc
@@ -157,6 +157,33 @@
       CHECK(reply.find("ok") != std::string::npos);
       CHECK(caller.ended());
     }
+    SUBCASE("a connection that waits to be accepted, or has just been, is served") {
+      // Pattern: the balancer sends new connections until it has noticed the stop; closing the
+      // listener resets those that the kernel holds.
+      Caller waiting(server);
+      boost::system::error_code ignored;
+      waiting.socket.write_some(boost::asio::buffer(kGet), ignored);
+      Caller silent(server);
+      server.port.CloseIdle();
+      silent.Write(kGet);
+      REQUIRE(server.requests.size() == 3);
+      server.port.Reply(server.tickets[1], {.body = "first"});
+      server.port.Reply(server.tickets[2], {.body = "second"});
+      CHECK(waiting.Read().find("200 OK") != std::string::npos);
+      CHECK(silent.Read().find("200 OK") != std::string::npos);
+    }
+    SUBCASE("a request that has arrived on an idle connection is served") {
+      Caller idle(server);
+      idle.Write(kGet);
+      server.port.Reply(server.tickets[1], {});
+      idle.Read();
+      server.Run();
+      boost::system::error_code ignored;
+      idle.socket.write_some(boost::asio::buffer(kGet), ignored);
+      server.port.CloseIdle();
+      server.Run();
+      CHECK(server.requests.size() == 2);  // its connection ended with the reply after the stop
+    }
     SUBCASE("an idle connection still takes a request until it is closed") {
       Caller second(server);
       second.Write(kGet);
