Take the whole time to the caller from the objective, as measured

Cause: answers were cut 4 ms before the objective, less one round trip; the caller measured up to 11 ms more. The parts: set-up of the caller's connection (one more round trip for the first request of a connection opened for it), the answer's bytes on the VM's link (8 KB and more for 180 signatures, 34 Mbit/s carries 4 KB a ms), and a hand-over (2.0 to 2.7 ms more at the VM that handed over than the coordinator saw). CallerPath holds them: set-up from the age of the connection, bytes from the route's recent answers, hand-overs as the 0.95 quantile of what the VMs that hand over measured and told the coordinator.

--- a/daemons/node_main.cc
+++ b/daemons/node_main.cc
@@ -34,6 +34,10 @@
       std::min(options.pool.connection.body_limit,
                static_cast<std::uint64_t>(kLargestReplyShare * memory_bytes));
   options.callers_input_limit = static_cast<std::size_t>(kCallersShare * memory_bytes);
+  constexpr double kBytesPerMegabit = 125000;
+  if (settings->link_mbps > 0) {
+    options.caller_path.link_bytes_per_second = settings->link_mbps * kBytesPerMegabit;
+  }
   options.coordinator.extra_sends.slack = settings->extra_send_slack;
   options.coordinator.extra_sends.window = settings->extra_send_window;
   options.coordinator.extra_sends.share = kRatioUsed * settings->extra_send_ratio;
--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -35,7 +35,8 @@
   std::string host;
   std::string path;                 // without query
   Duration time_left{};             // that the caller will wait, counted from when it sent the call
-  Duration caller_round_trip{};     // network time to the caller and back
+  // That the caller spends outside this VM until the answer arrives: network, links, other VMs.
+  Duration outside{};
   std::uint64_t fingerprint = 0;    // equal for equal method, target and body
   bool may_have_been_sent = false;  // another VM may have sent it to leaves already
 };
--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -321,8 +321,9 @@
 class CallerPort {
  public:
   struct Handlers {
-    // The reply goes to Reply with the same ticket.
-    std::function<void(std::uint64_t ticket, HttpRequest, Duration round_trip)> on_request;
+    // The reply goes to Reply with the same ticket. `caller_time`: what the caller spends on the
+    // network until the reply arrives, with the set-up of a connection opened for this request.
+    std::function<void(std::uint64_t ticket, HttpRequest, Duration caller_time)> on_request;
     std::function<void(std::uint64_t ticket)> on_left;
   };
 
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "ibishold/caller_path.h"
 #include "ibishold/dispatch.h"
 #include "ibishold/edge.h"
 #include "ibishold/fleet.h"
@@ -81,6 +82,7 @@
   PeerTableOptions peers;
   FleetPlanOptions plan;
   HandOverOptions hand_over;
+  CallerPathOptions caller_path;
   // Longest wait at a peer for news; a peer that freezes is noticed within it and the limit.
   Duration peer_wait = std::chrono::milliseconds(1000);
   Duration peer_limit = std::chrono::milliseconds(400);  // to answer beyond that wait
@@ -113,12 +115,16 @@
     std::uint64_t ticket = 0;
     HttpRequest request;
     std::string request_id;
+    std::string route;
+    TimePoint arrived{};
   };
   // A call of a caller that a coordinator works on.
   struct HandedOver {
     HttpRequest request;
     Call call;
+    std::string route;
     TimePoint arrived{};
+    TimePoint sent_at{};      // to the newest coordinator
     std::string coordinator;  // newest one
   };
   struct WaitingPeer {
@@ -128,7 +134,7 @@
   };
 
   // Callers and leaves (node_calls.h).
-  void OnRequest(std::uint64_t ticket, HttpRequest request, Duration round_trip);
+  void OnRequest(std::uint64_t ticket, HttpRequest request, Duration caller_time);
   void RunCall(CallerPort& port, std::uint64_t ticket, HttpRequest&& request, Call call);
   void OnCallerLeft(CallerPort& port, std::uint64_t ticket);
   void OnLeafReply(AttemptId attempt, HttpReply reply);
@@ -140,7 +146,7 @@
   std::string DebugState() const;
 
   // Other VMs (node_peers.h).
-  void OnPeerRequest(std::uint64_t ticket, HttpRequest request, Duration round_trip);
+  void OnPeerRequest(std::uint64_t ticket, HttpRequest request);
   void OnPeerReply(AttemptId attempt, HttpReply reply);
   void OnPeerFailure(AttemptId attempt, AttemptFailure failure);
   void ExecuteHandOver(std::vector<HandOverAction> actions);
@@ -219,6 +225,8 @@
   PeerTable peer_table;
   FleetPlan plan;
   HandOver hand_over;
+  CallerPath caller_path;
+  std::optional<Duration> hand_over_cost;  // newest measured, not told yet
   ConnectionPool peer_pool;
   CallerPort peer_port;
   boost::asio::ip::udp::socket gossip{context};
--- /dev/null
+++ b/src/caller_path/caller_path.cc
@@ -0,0 +1,33 @@
+#include "ibishold/caller_path.h"
+
+#include <algorithm>
+
+namespace ibishold {
+
+namespace {
+
+constexpr double kDecay = 0.98;  // of the greatest size, with each answer
+
+}  // namespace
+
+void CallerPath::Answered(const std::string& route, std::size_t bytes) {
+  double& known = this->answer_bytes[route];
+  known = std::max(known * kDecay, static_cast<double>(bytes));
+}
+
+Duration CallerPath::TransferTime(const Route& route) const {
+  const auto found = this->answer_bytes.find(route.name);
+  const double bytes =
+      found != this->answer_bytes.end()
+          ? found->second
+          : static_cast<double>(route.shards.size() * this->options.signature_bytes +
+                                route.top * kRecordBytes);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bytes / this->options.link_bytes_per_second));
+}
+
+Duration CallerPath::HandOverCost() const {
+  return this->hand_overs.Quantile(this->options.covered_share, this->options.first_hand_over);
+}
+
+}  // namespace ibishold
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -45,10 +45,10 @@
   Duration& longest = this->longest_wait[route.name];
   longest = std::max(longest, std::min(kept.time_left, route.time_limit * 2));
   const Duration passed = std::max(Duration::zero(), longest - kept.time_left);
-  progress.deadline = now + std::min(route.time_limit, kept.time_left - kept.caller_round_trip) -
+  progress.deadline = now + std::min(route.time_limit, kept.time_left - kept.outside) -
                       this->options.limit_margin;
   progress.cut_at =
-      now + route.objective - passed - kept.caller_round_trip - this->options.objective_margin;
+      now + route.objective - passed - kept.outside - this->options.objective_margin;
   for (Shard& shard : progress.shards) {
     this->StartShard(id, progress, shard, now, actions);
   }
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::seconds kBodyLimit{30};             // to receive a body, 30 s
 constexpr std::chrono::seconds kSilenceLimit{5};           // unacknowledged bytes, 5 s
 constexpr std::chrono::milliseconds kUnknownRoundTrip{6};  // if the kernel cannot tell, 6 ms
+// A caller that opened a connection for its request sends it at once.
+constexpr std::chrono::milliseconds kSetUpGap{20};
 constexpr std::chrono::milliseconds kFreshTime{500};       // to send a first request, 500 ms
 constexpr const char* kFullRetryAfter = "1";               // s, told when input memory is used up
 
@@ -84,6 +86,9 @@
     return;
   }
   this->input.append(this->chunk.data(), bytes);
+  if (!this->first_byte_at) {
+    this->first_byte_at = BootClock::now();
+  }
   if (this->phase == Phase::kIdle || this->phase == Phase::kReceiving) {
     this->Parse();
   }
@@ -173,8 +178,11 @@
   ++this->port.total.requests;
   this->port.tickets[this->ticket] = this;
   const Duration round_trip = MeasuredRoundTrip(this->socket).value_or(kUnknownRoundTrip);
+  const bool opened_for_it =
+      this->requests == 1 && *this->first_byte_at - this->accepted_at < round_trip + kSetUpGap;
   // The reply may come within the call; it must not start the next request before this returns.
-  this->port.handlers.on_request(this->ticket, std::move(request), round_trip);
+  this->port.handlers.on_request(this->ticket, std::move(request),
+                                 opened_for_it ? 2 * round_trip : round_trip);
 }
 
 void CallerPort::Session::RefuseInput(int status) {
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -46,6 +46,7 @@
   std::uint64_t ticket = 0;
   std::uint64_t requests = 0;  // read on this connection
   TimePoint accepted_at = BootClock::now();
+  std::optional<TimePoint> first_byte_at;
   bool keep_alive = true;
   bool head_only = false;
   bool reading = false;
--- a/src/hand_over/hand_over.cc
+++ b/src/hand_over/hand_over.cc
@@ -19,7 +19,7 @@
   Progress& progress = this->calls[ticket];
   progress.sent_by = now;
   progress.time_left = call.time_left;
-  progress.deadline = now + std::min(route.time_limit, call.time_left - call.caller_round_trip) -
+  progress.deadline = now + std::min(route.time_limit, call.time_left - call.outside) -
                       this->options.limit_margin;
   progress.silence =
       std::max(this->options.least_silence,
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -13,11 +13,32 @@
   return absl::StrFormat("%.1f", ToMilliseconds(duration));
 }
 
+inline std::int64_t Microseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+// In a reply to a VM that handed a call over: microseconds that the coordinator took.
+inline constexpr const char* kTookHeader = "Ibishold-Took";
+
+// About the size of a reply on the wire.
+inline std::size_t ReplyBytes(const std::vector<HeaderField>& headers, const std::string& body) {
+  constexpr std::size_t kStatusLine = 64;
+  constexpr std::size_t kSeparators = 4;  // ": " and the end of the line
+  std::size_t bytes = kStatusLine + body.size();
+  for (const HeaderField& field : headers) {
+    bytes += field.name.size() + field.value.size() + kSeparators;
+  }
+  return bytes;
+}
+
 template <PlatformTranslation Platform>
-void Node<Platform>::OnRequest(std::uint64_t ticket, HttpRequest request, Duration round_trip) {
-  Call call = Platform::DecodeCall(request, round_trip);
+void Node<Platform>::OnRequest(std::uint64_t ticket, HttpRequest request, Duration caller_time) {
+  Call call = Platform::DecodeCall(request, caller_time);
   const auto& routes = this->coordinator.routes();
   const Route* route = routes ? routes->Find(call.host, call.path) : nullptr;
+  if (route != nullptr) {
+    call.outside += this->caller_path.TransferTime(*route);
+  }
   if (route == nullptr || !route->fan_out()) {
     this->RunCall(this->callers, ticket, std::move(request), std::move(call));
     return;
@@ -31,7 +52,10 @@
   const TimePoint now = BootClock::now();
   this->hand_over.Begin(ticket, call, *route, now, actions);
   this->handed_over.emplace(
-      ticket, HandedOver{.request = std::move(request), .call = std::move(call), .arrived = now});
+      ticket, HandedOver{.request = std::move(request),
+                         .call = std::move(call),
+                         .route = route->name,
+                         .arrived = now});
   this->ExecuteHandOver(std::move(actions));
 }
 
@@ -44,7 +68,12 @@
   OpenCall open = {.port = &port,
                    .ticket = ticket,
                    .request = std::move(request),
-                   .request_id = call.request_id};
+                   .request_id = call.request_id,
+                   .arrived = BootClock::now()};
+  if (const auto& routes = this->coordinator.routes()) {
+    const Route* route = routes->Find(call.host, call.path);
+    open.route = route == nullptr ? "" : route->name;
+  }
   const CallId id = this->coordinator.Begin(std::move(call), BootClock::now(), actions);
   this->open_calls.emplace(id, std::move(open));
   this->calls_by_ticket[{&port, ticket}] = id;
@@ -102,9 +131,18 @@
       const auto found = this->open_calls.find(answer.call);
       CallerPort* port = found->second.port;
       const std::uint64_t ticket = found->second.ticket;
+      const TimePoint found_at = found->second.arrived;
+      const std::string route = std::move(found->second.route);
       this->calls_by_ticket.erase({port, ticket});
       this->open_calls.erase(found);
-      port->Reply(ticket, Platform::EncodeAnswer(std::move(answer.answer)));
+      const bool handed_over = port == &this->peer_port;
+      const Duration took = BootClock::now() - found_at;
+      CallerReply reply = Platform::EncodeAnswer(std::move(answer.answer));
+      if (handed_over) {
+        reply.headers.push_back({.name = kTookHeader, .value = std::to_string(Microseconds(took))});
+      }
+      this->caller_path.Answered(route, ReplyBytes(reply.headers, reply.body));
+      port->Reply(ticket, reply);
     }
   }
   this->LogCalls();
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -71,8 +71,8 @@
       callers(
           context,
           {.on_request =
-               [this](std::uint64_t ticket, HttpRequest request, Duration round_trip) {
-                 this->OnRequest(ticket, std::move(request), round_trip);
+               [this](std::uint64_t ticket, HttpRequest request, Duration caller_time) {
+                 this->OnRequest(ticket, std::move(request), caller_time);
                },
            .on_left = [this](std::uint64_t ticket) { this->OnCallerLeft(this->callers, ticket); }},
           options.callers_input_limit),
@@ -102,6 +102,7 @@
           random.Next(),
           BootClock::now()),
       hand_over(options.hand_over, random.Next()),
+      caller_path(options.caller_path),
       peer_pool(
           context,
           options.pool,
@@ -112,8 +113,8 @@
                                 AttemptFailure failure) { this->OnPeerFailure(attempt, failure); }}),
       peer_port(context,
                 {.on_request =
-                     [this](std::uint64_t ticket, HttpRequest request, Duration round_trip) {
-                       this->OnPeerRequest(ticket, std::move(request), round_trip);
+                     [this](std::uint64_t ticket, HttpRequest request, Duration) {
+                       this->OnPeerRequest(ticket, std::move(request));
                      },
                  .on_left =
                      [this](std::uint64_t ticket) {
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -11,8 +11,10 @@
 
 namespace ibishold {
 
-// Headers between VMs, on requests that are handed over.
-inline constexpr const char* kHandOverHeader = "Ibishold-Hand-Over";  // "RTT_US,VERSION,SENT"
+// On requests that are handed over: "OUTSIDE_US,VERSION,SENT,COST_US", where OUTSIDE_US is
+// Call::outside at the VM that hands over, SENT is 1 if leaves may have it already, and COST_US is
+// the newest measured cost of a hand-over, or empty.
+inline constexpr const char* kHandOverHeader = "Ibishold-Hand-Over";
 // Set in a reply: the call was not taken and nothing was sent for it.
 inline constexpr const char* kDeclinedHeader = "Ibishold-Declined";
 inline constexpr const char* kProbePath = "/ibishold/probe";
@@ -55,14 +57,15 @@
       HandedOver& handed = found->second;
       handed.coordinator = AddressText(action.coordinator);
       HttpRequest request = Platform::WithTimeLeft(handed.request, action.time_left);
-      const auto round_trip_us =
-          std::chrono::duration_cast<std::chrono::microseconds>(handed.call.caller_round_trip)
-              .count();
+      const auto cost = std::exchange(this->hand_over_cost, std::nullopt);
+      handed.sent_at = BootClock::now();
       const auto& routes = this->coordinator.routes();
       request.headers.push_back(
           {.name = kHandOverHeader,
-           .value = absl::StrCat(round_trip_us, ",", routes ? routes->version : 0, ",",
-                                 action.may_have_been_sent ? 1 : 0)});
+           .value = absl::StrCat(Microseconds(handed.call.outside), ",",
+                                 routes ? routes->version : 0, ",",
+                                 action.may_have_been_sent ? 1 : 0, ",",
+                                 cost ? std::to_string(Microseconds(*cost)) : "")});
       this->peer_pool.Send({.attempt = action.attempt,
                             .leaf = PeerServer(action.coordinator),
                             .repeatable = true,
@@ -129,6 +132,14 @@
   if (!reply.header(kDeclinedHeader).empty()) {
     this->hand_over.OnDeclined(attempt, now, actions);
   } else if (const auto ticket = this->hand_over.OnReply(attempt, now, actions)) {
+    const HandedOver& handed = this->handed_over.at(*ticket);
+    this->caller_path.Answered(handed.route, ReplyBytes(reply.headers, reply.body));
+    if (const auto took_us = ParseNumber<std::int64_t>(reply.header(kTookHeader))) {
+      this->hand_over_cost = now - handed.sent_at - std::chrono::microseconds(*took_us);
+    }
+    std::erase_if(reply.headers, [](const HeaderField& field) {
+      return EqualsIgnoreCase(field.name, kTookHeader);
+    });
     this->EndHandOver(*ticket, reply.status, "answered");
     this->callers.Reply(*ticket, {.status = reply.status,
                                   .headers = std::move(reply.headers),
@@ -170,7 +181,7 @@
 // ---- requests of other VMs ----------------------------------------------------------------------
 
 template <PlatformTranslation Platform>
-void Node<Platform>::OnPeerRequest(std::uint64_t ticket, HttpRequest request, Duration round_trip) {
+void Node<Platform>::OnPeerRequest(std::uint64_t ticket, HttpRequest request) {
   if (request.path() == kProbePath) {
     this->peer_port.Reply(ticket, {.status = 200});
     return;
@@ -194,9 +205,9 @@
     return;
   }
   const auto numbers = SplitText(request.header(kHandOverHeader), ',');
-  const auto round_trip_us = ParseNumber<std::int64_t>(numbers[0]);
+  const auto outside_us = ParseNumber<std::int64_t>(numbers[0]);
   const auto version = numbers.size() > 1 ? ParseNumber<std::uint64_t>(numbers[1]) : std::nullopt;
-  if (!round_trip_us || !version || numbers.size() != 3) {
+  if (!outside_us || !version || numbers.size() != 4) {
     this->peer_port.Reply(ticket, {.status = 400});
     return;
   }
@@ -210,7 +221,11 @@
     this->peer_port.Reply(ticket, {.status = 503, .headers = {{kDeclinedHeader, "1"}}});
     return;
   }
-  Call call = Platform::DecodeCall(request, round_trip + std::chrono::microseconds(*round_trip_us));
+  if (const auto cost_us = ParseNumber<std::int64_t>(numbers[3])) {
+    this->caller_path.HandOverMeasured(std::chrono::microseconds(*cost_us));
+  }
+  Call call = Platform::DecodeCall(
+      request, std::chrono::microseconds(*outside_us) + this->caller_path.HandOverCost());
   call.may_have_been_sent = sent_before;
   this->RunCall(this->peer_port, ticket, std::move(request), std::move(call));
 }
--- a/tests/hand_over/hand_over_call_test.cc
+++ b/tests/hand_over/hand_over_call_test.cc
@@ -13,7 +13,7 @@
     this->hand_over.SetPlan({this->near_one, this->near_two, this->far}, 2);
     this->route = {
         .repeatable = true, .time_limit = milliseconds(1500), .objective = milliseconds(150)};
-    this->call = {.time_left = milliseconds(1500), .caller_round_trip = milliseconds(6)};
+    this->call = {.time_left = milliseconds(1500), .outside = milliseconds(6)};
   }
 
   void Begin(std::uint64_t ticket = 1) {
