--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -154,8 +154,10 @@
   double stall_factor = 3;  // times the usual duration without an answer: stalled
   Duration stall_minimum = std::chrono::milliseconds(25);  // never stalled before, 25 ms
   // A leaf that was seen silent is avoided for this long, or until it answers: about what remains
-  // of a leaf's pause of 100 to 200 ms (site files) when it is noticed.
+  // of a leaf's pause of 100 to 200 ms (site files) when it is noticed. One that is silent again,
+  // without an answer between, is avoided for twice as long each time: it is dark, not paused.
   Duration silence_memory = std::chrono::milliseconds(120);
+  Duration longest_silence_memory = std::chrono::seconds(2);
   // Others are told only of leaves that answered this VM within this time: one that it cannot reach
   // at all may well answer them.
   Duration silence_told_within = std::chrono::seconds(1);
@@ -224,11 +226,13 @@
     std::uint64_t misplaced_revision = 0;
     TimePoint replied_at{};    // newest answer to this VM
     TimePoint silent_until{};  // seen silent, here or by another VM
+    int silences = 0;          // one after the other, without an answer between
     bool told = false;         // others know of the present silence
   };
 
   std::optional<Outstanding> Take(AttemptId attempt);
   void Slowness(Condition& condition, double measured, TimePoint now) const;
+  void Silent(Condition& condition, TimePoint now) const;
 
   LeafTrackerOptions options;
   Random random;
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -65,6 +65,7 @@
   Condition& condition = this->conditions[taken->leaf];
   condition.replied_at = now;
   condition.silent_until = {};
+  condition.silences = 0;
   condition.told = false;
   if (reply.load) {
     const double total = reply.load->running + reply.load->waiting;
@@ -213,20 +214,31 @@
   if (now >= condition.silent_until) {
     condition.told = false;
   }
-  condition.silent_until = now + this->options.silence_memory;
+  this->Silent(condition, now);
   if (!condition.told && now - condition.replied_at <= this->options.silence_told_within) {
     condition.told = true;
     this->silent.push_back({.leaf = found->second.leaf, .waited = now - found->second.sent_at});
   }
 }
 
+// Requests that were sent before the silence was seen do not count as another one.
+void LeafTracker::Silent(Condition& condition, TimePoint now) const {
+  constexpr int kMostDoublings = 16;
+  if (now >= condition.silent_until) {
+    condition.silences = std::min(condition.silences + 1, kMostDoublings);
+  }
+  const Duration memory = this->options.silence_memory * (1 << (condition.silences - 1));
+  condition.silent_until =
+      std::max(condition.silent_until, now + std::min(memory, this->options.longest_silence_memory));
+}
+
 bool LeafTracker::HeardSilent(const SilentLeaf& news, TimePoint now) {
   Condition& condition = this->conditions[news.leaf];
   if (condition.replied_at >= now - news.waited) {
     return false;
   }
   const bool known = now < condition.silent_until;
-  condition.silent_until = now + this->options.silence_memory;
+  this->Silent(condition, now);
   condition.told = true;
   return !known;
 }
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -170,4 +170,43 @@
   }
 }
 
+TEST_CASE("a leaf that went dark is tried ever less often, and used again when it answers") {
+  // Pattern: 48 of 300 leaves go dark for some seconds without leaving the list; each first send to
+  // one of them costs its call a second send or its shard.
+  LeafTracker tracker({.data_centre = DataCentre("east")}, 1);
+  const LeafEntry dark = LeafNamed("dark");
+  const LeafEntry other = LeafNamed("other", "west");
+  const Duration usual = milliseconds(28);
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  TimePoint now = start;
+  AttemptId attempt = 0;
+  int tries = 0;
+  // A call each 60 ms; the dark leaf's part is given up after 100 ms.
+  const auto run_until = [&](Duration end, bool answers) {
+    for (; now < start + end; now += milliseconds(60)) {
+      const LeafEntry* chosen = tracker.Choose({&dark, &other}, usual, now);
+      tracker.Sent(++attempt, *chosen, usual, now);
+      if (chosen == &other || answers) {
+        tracker.Replied(attempt, kSuccess, now + usual);
+        continue;
+      }
+      ++tries;
+      tracker.Overdue(attempt, now + milliseconds(40));
+      tracker.Cancelled(attempt, now + milliseconds(50));
+    }
+  };
+  run_until(std::chrono::seconds(4), false);
+  CHECK(tries <= 7);
+  SUBCASE("the longest time to be avoided is bounded") {
+    const int before = tries;
+    run_until(std::chrono::seconds(24), false);
+    CHECK(tries - before >= 5);
+  }
+  SUBCASE("after one answer it is a leaf like others") {
+    now += std::chrono::seconds(20);
+    run_until(now - start + milliseconds(100), true);
+    CHECK(tracker.Choose({&dark, &other}, usual, now + milliseconds(100)) == &dark);
+  }
+}
+
 }  // namespace ibishold
