Weigh another data centre by the objective, and do not take a pause for slowness

(1) Another data centre cost half of a usual time, 14 ms of 28, although the objective is 200 ms away. (2) A request that met a leaf's pause of 250 ms made the leaf look slow for 4 s, and leaves pause each 6 s. What is left of crossing bytes is open. Tests: leaf_tracker_test, 'a slower leaf nearby' and 'a pause says nothing about the next request' (failing with the clamp removed).

--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -81,6 +81,7 @@
   std::uint32_t missing = 0;
   std::uint32_t sends = 0;
   std::uint32_t extra_sends = 0;
+  std::uint32_t remote_sends = 0;  // to leaves in other data centres
   std::vector<CallNote> notes;
 };
 
@@ -158,6 +159,7 @@
     std::optional<LeafReply> failed_reply;  // of a leaf that ran it without success
     std::uint32_t sends = 0;
     std::uint32_t extra = 0;
+    std::uint32_t remote = 0;
     std::vector<CallNote> notes;
     TimePoint timer{};
   };
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -148,9 +148,15 @@
   DataCentre data_centre;                                 // of this VM
   double remote_factor = 1.5;                             // cost of another data centre
   Duration remote_delay = std::chrono::milliseconds(2);   // added there, 2 ms
+  // The least cost of another data centre, as a share of the objective: bytes between data centres
+  // are scarce, and a leaf that answers well before the objective is soon enough.
+  double remote_objective_share = 0.12;
   Duration load_memory = std::chrono::milliseconds(150);  // half-life of a told load
   Duration slowness_memory = std::chrono::seconds(3);     // half-life of a measured slowness
   Duration failure_memory = std::chrono::seconds(3);      // half-life of a failure
+  // A request that met a single silence of its leaf counts as this slow at most: most silences are
+  // pauses, which say nothing about the next request.
+  double pause_slowness = 2;
   double stall_factor = 3;  // times the usual duration without an answer: stalled
   Duration stall_minimum = std::chrono::milliseconds(25);  // never stalled before, 25 ms
   // A leaf that was seen silent is avoided for this long, or until it answers: about what remains
@@ -174,13 +180,15 @@
   void Cancelled(AttemptId attempt, TimePoint now);
   void Forget(const LeafId& leaf);
 
-  // Lower is better: the time in which this leaf is expected to answer, in milliseconds.
-  double Score(const LeafEntry& leaf, Duration usual, TimePoint now) const;
+  // Lower is better: the time in which this leaf is expected to answer, in milliseconds, with the
+  // cost of another data centre. `objective`: of the call; zero: it has none.
+  double Score(const LeafEntry& leaf, Duration usual, TimePoint now, Duration objective = {}) const;
 
   // The candidate with the lowest score, ties by chance; null if there is none.
   const LeafEntry* Choose(const std::vector<const LeafEntry*>& candidates,
                           Duration usual,
-                          TimePoint now);
+                          TimePoint now,
+                          Duration objective = {});
 
   std::uint32_t InFlight(const LeafId& leaf) const;
   // Requests running or waiting per slot beside the one that was answered: mean over the leaves
@@ -232,6 +240,7 @@
 
   std::optional<Outstanding> Take(AttemptId attempt);
   void Slowness(Condition& condition, double measured, TimePoint now) const;
+  double WithoutPause(double measured, bool paused) const;
   void Silent(Condition& condition, TimePoint now) const;
 
   LeafTrackerOptions options;
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -191,7 +191,7 @@
   }
   const LeafEntry* leaf = nullptr;
   while (any && !candidates.empty()) {
-    leaf = this->leaves.Choose(candidates, usual, now);
+    leaf = this->leaves.Choose(candidates, usual, now, route.objective);
     const bool full = this->leaves.InFlight(leaf->id) >= this->ConnectionLimit(progress, *leaf);
     if (!full && this->leaves.TakeWarmUp(*leaf, rate, this->Senders(progress), now)) {
       break;
@@ -235,6 +235,7 @@
   ++shard.attempts;
   ++progress.sends;
   progress.extra += extra ? 1 : 0;
+  progress.remote += leaf->data_centre == this->options.tracker.data_centre ? 0 : 1;
   if (!shard.first_counted) {
     shard.first_counted = true;
     if (!progress.call.may_have_been_sent) {
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -77,7 +77,8 @@
                          .took = now - progress.arrived,
                          .shards = static_cast<std::uint32_t>(progress.shards.size()),
                          .sends = progress.sends,
-                         .extra_sends = progress.extra};
+                         .extra_sends = progress.extra,
+                         .remote_sends = progress.remote};
   summary.missing = summary.shards - static_cast<std::uint32_t>(progress.done);
   if (progress.table != nullptr) {
     summary.version = progress.table->version;
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -57,12 +57,17 @@
   condition.slowness_at = now;
 }
 
+double LeafTracker::WithoutPause(double measured, bool paused) const {
+  return paused ? std::min(measured, this->options.pause_slowness) : measured;
+}
+
 void LeafTracker::Replied(AttemptId attempt, const LeafReply& reply, TimePoint now) {
   const std::optional<Outstanding> taken = this->Take(attempt);
   if (!taken) {
     return;
   }
   Condition& condition = this->conditions[taken->leaf];
+  const bool paused = condition.silences == 1;
   condition.replied_at = now;
   condition.silent_until = {};
   condition.silences = 0;
@@ -77,10 +82,9 @@
   }
   if (reply.success()) {
     if (taken->usual > Duration::zero()) {
-      this->Slowness(condition,
-                     static_cast<double>((now - taken->sent_at).count()) /
-                         static_cast<double>(taken->usual.count()),
-                     now);
+      const double measured = static_cast<double>((now - taken->sent_at).count()) /
+                              static_cast<double>(taken->usual.count());
+      this->Slowness(condition, this->WithoutPause(measured, paused), now);
     }
     condition.failures *= 0.5 * Decay(condition.failures_at, now, this->options.failure_memory);
     condition.failures_at = now;
@@ -112,7 +116,7 @@
                         static_cast<double>(taken->usual.count());
   Condition& condition = this->conditions[taken->leaf];
   if (waited > condition.slowness) {
-    this->Slowness(condition, waited, now);
+    this->Slowness(condition, this->WithoutPause(waited, condition.silences == 1), now);
   }
 }
 
@@ -127,7 +131,10 @@
   this->conditions.erase(found);
 }
 
-double LeafTracker::Score(const LeafEntry& leaf, Duration usual, TimePoint now) const {
+double LeafTracker::Score(const LeafEntry& leaf,
+                          Duration usual,
+                          TimePoint now,
+                          Duration objective) const {
   const double usual_ms = std::max(0.1, ToMilliseconds(usual));
   double slowness = 1;
   double failures = 0;
@@ -150,19 +157,22 @@
   double score = usual_ms * (slowness * (1 + waiting) + kFailureWeight * failures) +
                  usual_ms * 0.1 * queue / slots + penalty;
   if (leaf.data_centre != this->options.data_centre) {
-    score = score * this->options.remote_factor + ToMilliseconds(this->options.remote_delay);
+    score = std::max(
+        score * this->options.remote_factor + ToMilliseconds(this->options.remote_delay),
+        score + this->options.remote_objective_share * ToMilliseconds(objective));
   }
   return score;
 }
 
 const LeafEntry* LeafTracker::Choose(const std::vector<const LeafEntry*>& candidates,
                                      Duration usual,
-                                     TimePoint now) {
+                                     TimePoint now,
+                                     Duration objective) {
   const LeafEntry* best = nullptr;
   double best_score = 0;
   std::uint64_t ties = 1;
   for (const LeafEntry* candidate : candidates) {
-    const double score = this->Score(*candidate, usual, now);
+    const double score = this->Score(*candidate, usual, now, objective);
     if (best != nullptr && score > best_score * (1 + kTieShare)) {
       continue;
     }
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -186,6 +186,10 @@
         .AddCounter("ibishold_extra_sends_total", "Requests sent to a second leaf",
                     {{"route", call.route}})
         .Add(call.extra_sends);
+    this->metrics
+        .AddCounter("ibishold_remote_sends_total", "Requests sent to leaves in other data centres",
+                    {{"route", call.route}})
+        .Add(call.remote_sends);
     this->metrics.AddLatency("ibishold_call_seconds", "Time to answer", {{"route", call.route}})
         .Record(call.took);
     const bool usual =
@@ -207,7 +211,8 @@
         {"objective_ms", MillisecondText(call.objective)},
         {"shards", absl::StrCat(call.shards - call.missing, " of ", call.shards)},
         {"sends", std::to_string(call.sends)},
-        {"extra_sends", std::to_string(call.extra_sends)}};
+        {"extra_sends", std::to_string(call.extra_sends)},
+        {"remote_sends", std::to_string(call.remote_sends)}};
     std::string steps;
     for (const CallNote& note : call.notes) {
       absl::StrAppend(&steps, steps.empty() ? "" : "; ", MillisecondText(note.at), " ",
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -34,6 +34,22 @@
   SUBCASE("the own data centre is preferred among equals") {
     CHECK(tracker.Choose({&far, &a}, usual, now) == &a);
   }
+  SUBCASE("a slower leaf nearby is soon enough for a distant objective, not for a close one") {
+    // Pattern: leaves differ in speed by half; 44 of 100 parts crossed between data centres although
+    // each shard had a leaf nearby that would have answered in time.
+    for (int i = 0; i < 12; ++i) {
+      answer_after(a, milliseconds(18));
+      now += milliseconds(50);
+    }
+    CHECK(tracker.Choose({&far, &a}, usual, now, milliseconds(200)) == &a);
+    CHECK(tracker.Choose({&far, &a}, usual, now, milliseconds(30)) == &far);
+    SUBCASE("nor is one that waits for a slot for long") {
+      for (int i = 0; i < 12; ++i) {
+        tracker.Sent(++attempt, a, usual, now);
+      }
+      CHECK(tracker.Choose({&far, &a}, usual, now, milliseconds(200)) == &far);
+    }
+  }
   SUBCASE("one long answer does not send work to another data centre") {
     // Pattern: service times spread by a third and more; each exchange with another data centre
     // costs bytes on the links between them and a round trip.
@@ -209,4 +225,41 @@
   }
 }
 
+TEST_CASE("a pause says nothing about the next request") {
+  // Pattern: each leaf pauses for 250 ms each 6 s. One request that met the pause made the leaf look
+  // slow for 4 s, and a fifth of all parts came from another data centre.
+  LeafTracker tracker({.data_centre = DataCentre("east")}, 1);
+  const LeafEntry near = LeafNamed("near");
+  const LeafEntry far = LeafNamed("far", "west");
+  const Duration usual = milliseconds(28);
+  const Duration objective = milliseconds(200);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  tracker.Sent(1, near, usual, now);
+  tracker.Replied(1, kSuccess, now + usual);
+  now += milliseconds(100);
+  const auto meet = [&](AttemptId attempt, Duration length) {
+    tracker.Sent(attempt, near, usual, now);
+    tracker.Overdue(attempt, now + milliseconds(60));
+    tracker.Replied(attempt, kSuccess, now + length);
+    now += length + milliseconds(10);
+  };
+  meet(2, milliseconds(250));
+  CHECK(tracker.Choose({&near, &far}, usual, now, objective) == &near);
+  SUBCASE("a leaf that is slow each time is seen") {
+    for (AttemptId attempt = 3; attempt < 8; ++attempt) {
+      meet(attempt, milliseconds(250));
+    }
+    CHECK(tracker.Choose({&near, &far}, usual, now, objective) == &far);
+  }
+  SUBCASE("so is one that never answers in time") {
+    for (AttemptId attempt = 3; attempt < 8; ++attempt) {
+      tracker.Sent(attempt, near, usual, now);
+      tracker.Overdue(attempt, now + milliseconds(60));
+      tracker.Cancelled(attempt, now + milliseconds(90));
+      now += milliseconds(300);
+    }
+    CHECK(tracker.Choose({&near, &far}, usual, now, objective) == &far);
+  }
+}
+
 }  // namespace ibishold
