--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -33,8 +33,8 @@
 struct Call {
   std::string request_id;  // as the caller sent it; new for each of the caller's attempts
   std::string host;
-  std::string path;                 // without query
-  Duration time_left{};             // that the caller will wait, counted from when it sent the call
+  std::string path;      // without query
+  Duration time_left{};  // that the caller will wait, counted from when it sent the call
   // That the caller spends outside this VM until the answer arrives: network, links, other VMs.
   Duration outside{};
   std::uint64_t fingerprint = 0;    // equal for equal method, target and body
--- a/include/ibishold/caller_path.h
+++ b/include/ibishold/caller_path.h
@@ -26,8 +26,8 @@
   // Before any answer of a route was seen, its size is that of its records and of this much for the
   // signature of each shard.
   std::size_t signature_bytes = 40;
-  // Answers that are late by a hair cost as much as ones that are late by far, so the estimate covers
-  // all but one in twenty.
+  // Answers that are late by a hair cost as much as ones that are late by far, so the estimate
+  // covers all but one in twenty.
   double covered_share = 0.95;
   // A hand-over there and back, before enough of them were measured.
   Duration first_hand_over = std::chrono::milliseconds(5);
--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -80,18 +80,16 @@
   explicit InputMemory(std::size_t limit) : limit(limit) {}  // bytes
 
   // `bytes`: all that the connection holds now. May end messages, also this one.
-  void Hold(const std::shared_ptr<Connection>& connection, std::size_t bytes)
-    requires RefusesInput<Connection>
-  {
+  void Hold(const std::shared_ptr<Connection>& connection,
+            std::size_t bytes) requires RefusesInput<Connection> {
     Holder& holder = this->holders[connection.get()];
     holder.connection = connection;
     this->total += bytes - holder.bytes;
     holder.bytes = bytes;
     while (this->total > this->limit) {
-      const auto largest = std::max_element(this->holders.begin(), this->holders.end(),
-                                            [](const auto& a, const auto& b) {
-                                              return a.second.evictable() < b.second.evictable();
-                                            });
+      const auto largest = std::max_element(
+          this->holders.begin(), this->holders.end(),
+          [](const auto& a, const auto& b) { return a.second.evictable() < b.second.evictable(); });
       if (largest->second.evictable() == 0) {
         return;  // only whole messages are left
       }
@@ -151,7 +149,7 @@
   // Bytes received for one request beyond the body limit: head, framing of chunks, informational
   // replies and replies to other requests, 256 KB.
   std::uint64_t overhead_limit = 256U << 10U;
-  std::shared_ptr<ReplyMemory> memory;  // none: only the limits of one reply hold
+  std::shared_ptr<ReplyMemory> memory;               // none: only the limits of one reply hold
   Duration silence_limit = std::chrono::seconds(3);  // unacknowledged bytes or probes, 3 s
   // To connect. The kernel repeats a lost opening packet only after 1 s, 2 s, 4 s and so on, so a
   // new connection finds a path that has come back sooner.
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -145,17 +145,17 @@
 // ---- 4. LeafTracker -----------------------------------------------------------------------------
 
 struct LeafTrackerOptions {
-  DataCentre data_centre;                                 // of this VM
-  double remote_factor = 1.5;                             // cost of another data centre
-  Duration remote_delay = std::chrono::milliseconds(2);   // added there, 2 ms
+  DataCentre data_centre;                                // of this VM
+  double remote_factor = 1.5;                            // cost of another data centre
+  Duration remote_delay = std::chrono::milliseconds(2);  // added there, 2 ms
   // The least cost of another data centre, as a share of the objective: bytes between data centres
   // are scarce, and a leaf that answers well before the objective is soon enough.
   double remote_objective_share = 0.12;
   Duration load_memory = std::chrono::milliseconds(150);  // half-life of a told load
   Duration slowness_memory = std::chrono::seconds(3);     // half-life of a measured slowness
   Duration failure_memory = std::chrono::seconds(3);      // half-life of a failure
-  // A request that met a single silence of its leaf counts as this slow at most: most silences are
-  // pauses, which say nothing about the next request.
+  // One request that took long counts as this slow at most, and so do those that waited beside it:
+  // mostly their leaf paused, which says nothing about the next request.
   double pause_slowness = 2;
   double stall_factor = 3;  // times the usual duration without an answer: stalled
   Duration stall_minimum = std::chrono::milliseconds(25);  // never stalled before, 25 ms
@@ -232,15 +232,20 @@
     TimePoint warm_up_at{};
     double warm_up_tokens = 0;
     std::uint64_t misplaced_revision = 0;
-    TimePoint replied_at{};    // newest answer to this VM
-    TimePoint silent_until{};  // seen silent, here or by another VM
-    int silences = 0;          // one after the other, without an answer between
-    bool told = false;         // others know of the present silence
+    TimePoint replied_at{};     // newest answer to this VM
+    TimePoint silent_until{};   // seen silent, here or by another VM
+    int silences = 0;           // one after the other, without an answer between
+    int long_in_a_row = 0;      // requests that took long, sent one after the other
+    TimePoint long_ended_at{};  // the newest of them
+    bool told = false;          // others know of the present silence
   };
 
   std::optional<Outstanding> Take(AttemptId attempt);
   void Slowness(Condition& condition, double measured, TimePoint now) const;
-  double WithoutPause(double measured, bool paused) const;
+  double WithoutPause(Condition& condition,
+                      const Outstanding& ended,
+                      double measured,
+                      TimePoint now) const;
   void Silent(Condition& condition, TimePoint now) const;
 
   LeafTrackerOptions options;
@@ -254,17 +259,17 @@
 // ---- 5. CrashGuard ------------------------------------------------------------------------------
 
 struct CrashGuardOptions {
-  std::size_t crash_limit = 3;                     // crashed leaves that make a call a suspect; 3
-  double success_weight = 0.5;                     // crashes that one answer outweighs
-  Duration memory = std::chrono::seconds(60);      // of crashes that led to no refusal, 60 s
-  Duration refusal = std::chrono::minutes(10);     // as in the quarantine of ibishold-front
-  std::size_t table_limit = 1024;                  // fingerprints
-  std::size_t service_limit = 8;                   // remembered for one fingerprint
-  std::size_t leaf_limit = 8;                      // remembered for one service of a fingerprint
+  std::size_t crash_limit = 3;                  // crashed leaves that make a call a suspect; 3
+  double success_weight = 0.5;                  // crashes that one answer outweighs
+  Duration memory = std::chrono::seconds(60);   // of crashes that led to no refusal, 60 s
+  Duration refusal = std::chrono::minutes(10);  // as in the quarantine of ibishold-front
+  std::size_t table_limit = 1024;               // fingerprints
+  std::size_t service_limit = 8;                // remembered for one fingerprint
+  std::size_t leaf_limit = 8;                   // remembered for one service of a fingerprint
 };
 
-// Finds calls that crash the leaves that run them, from attempts whose connection broke while a leaf
-// ran them. Every VM that sends gets every report, and judges alike:
+// Finds calls that crash the leaves that run them, from attempts whose connection broke while a
+// leaf ran them. Every VM that sends gets every report, and judges alike:
 //   - a service where `crash_limit` leaves crashed in two requests or more gets the call no more;
 //     the other shards of a call that fans out still do;
 //   - a call that crashed leaves of `crash_limit` services in two requests or more is refused.
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -45,10 +45,9 @@
   Duration& longest = this->longest_wait[route.name];
   longest = std::max(longest, std::min(kept.time_left, route.time_limit * 2));
   const Duration passed = std::max(Duration::zero(), longest - kept.time_left);
-  progress.deadline = now + std::min(route.time_limit, kept.time_left - kept.outside) -
-                      this->options.limit_margin;
-  progress.cut_at =
-      now + route.objective - passed - kept.outside - this->options.objective_margin;
+  progress.deadline =
+      now + std::min(route.time_limit, kept.time_left - kept.outside) - this->options.limit_margin;
+  progress.cut_at = now + route.objective - passed - kept.outside - this->options.objective_margin;
   for (Shard& shard : progress.shards) {
     this->StartShard(id, progress, shard, now, actions);
   }
@@ -103,8 +102,8 @@
     this->Finish(id, progress, this->Refusal(AnswerReason::kCrashesLeaves, blocked), now, actions);
     return true;
   }
-  this->Finish(id, progress,
-               this->Refusal(AnswerReason::kNoLeaf, this->ReturnTime(progress, now)), now, actions);
+  this->Finish(id, progress, this->Refusal(AnswerReason::kNoLeaf, this->ReturnTime(progress, now)),
+               now, actions);
   return true;
 }
 
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -29,7 +29,8 @@
     return;
   }
   if (total - progress.failed < LeastShards(progress)) {
-    this->Finish(id, progress, this->Failure(progress, AnswerReason::kTooFewShards, now), now, actions);
+    this->Finish(id, progress, this->Failure(progress, AnswerReason::kTooFewShards, now), now,
+                 actions);
     return;
   }
   if (now >= progress.cut_at && enough) {
@@ -143,7 +144,8 @@
     return this->Refusal(AnswerReason::kOverload, std::max(2 * this->Usual(*progress.route),
                                                            this->ReturnTime(progress, now)));
   }
-  return this->Refusal(reason, std::max(this->options.retry_no_leaf, this->ReturnTime(progress, now)));
+  return this->Refusal(reason,
+                       std::max(this->options.retry_no_leaf, this->ReturnTime(progress, now)));
 }
 
 Answer Coordinator::Refusal(AnswerReason reason, Duration retry_after) {
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -20,8 +20,8 @@
 constexpr std::chrono::milliseconds kUnknownRoundTrip{6};  // if the kernel cannot tell, 6 ms
 // A caller that opened a connection for its request sends it at once.
 constexpr std::chrono::milliseconds kSetUpGap{20};
-constexpr std::chrono::milliseconds kFreshTime{500};       // to send a first request, 500 ms
-constexpr const char* kFullRetryAfter = "1";               // s, told when input memory is used up
+constexpr std::chrono::milliseconds kFreshTime{500};  // to send a first request, 500 ms
+constexpr const char* kFullRetryAfter = "1";          // s, told when input memory is used up
 
 }  // namespace
 
@@ -242,8 +242,8 @@
   this->Read();
 }
 
-// A request may be on its way: one that has arrived is served, and a connection that was opened just
-// now gets the time to send one.
+// A request may be on its way: one that has arrived is served, and a connection that was opened
+// just now gets the time to send one.
 void CallerPort::Session::CloseIfIdle() {
   if (this->phase != Phase::kIdle || !this->input.empty()) {
     return;
--- a/src/hand_over/hand_over.cc
+++ b/src/hand_over/hand_over.cc
@@ -19,8 +19,8 @@
   Progress& progress = this->calls[ticket];
   progress.sent_by = now;
   progress.time_left = call.time_left;
-  progress.deadline = now + std::min(route.time_limit, call.time_left - call.outside) -
-                      this->options.limit_margin;
+  progress.deadline =
+      now + std::min(route.time_limit, call.time_left - call.outside) - this->options.limit_margin;
   progress.silence =
       std::max(this->options.least_silence,
                Duration(static_cast<Duration::rep>(this->options.silence_share *
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -57,8 +57,19 @@
   condition.slowness_at = now;
 }
 
-double LeafTracker::WithoutPause(double measured, bool paused) const {
-  return paused ? std::min(measured, this->options.pause_slowness) : measured;
+double LeafTracker::WithoutPause(Condition& condition,
+                                 const Outstanding& ended,
+                                 double measured,
+                                 TimePoint now) const {
+  if (measured <= this->options.pause_slowness) {
+    condition.long_in_a_row = 0;
+    return measured;
+  }
+  if (condition.long_in_a_row == 0 || ended.sent_at >= condition.long_ended_at) {
+    ++condition.long_in_a_row;
+    condition.long_ended_at = now;
+  }
+  return condition.long_in_a_row == 1 ? this->options.pause_slowness : measured;
 }
 
 void LeafTracker::Replied(AttemptId attempt, const LeafReply& reply, TimePoint now) {
@@ -67,7 +78,6 @@
     return;
   }
   Condition& condition = this->conditions[taken->leaf];
-  const bool paused = condition.silences == 1;
   condition.replied_at = now;
   condition.silent_until = {};
   condition.silences = 0;
@@ -84,7 +94,7 @@
     if (taken->usual > Duration::zero()) {
       const double measured = static_cast<double>((now - taken->sent_at).count()) /
                               static_cast<double>(taken->usual.count());
-      this->Slowness(condition, this->WithoutPause(measured, paused), now);
+      this->Slowness(condition, this->WithoutPause(condition, *taken, measured, now), now);
     }
     condition.failures *= 0.5 * Decay(condition.failures_at, now, this->options.failure_memory);
     condition.failures_at = now;
@@ -116,7 +126,7 @@
                         static_cast<double>(taken->usual.count());
   Condition& condition = this->conditions[taken->leaf];
   if (waited > condition.slowness) {
-    this->Slowness(condition, this->WithoutPause(waited, condition.silences == 1), now);
+    this->Slowness(condition, this->WithoutPause(condition, *taken, waited, now), now);
   }
 }
 
@@ -157,9 +167,9 @@
   double score = usual_ms * (slowness * (1 + waiting) + kFailureWeight * failures) +
                  usual_ms * 0.1 * queue / slots + penalty;
   if (leaf.data_centre != this->options.data_centre) {
-    score = std::max(
-        score * this->options.remote_factor + ToMilliseconds(this->options.remote_delay),
-        score + this->options.remote_objective_share * ToMilliseconds(objective));
+    score =
+        std::max(score * this->options.remote_factor + ToMilliseconds(this->options.remote_delay),
+                 score + this->options.remote_objective_share * ToMilliseconds(objective));
   }
   return score;
 }
@@ -238,8 +248,8 @@
     condition.silences = std::min(condition.silences + 1, kMostDoublings);
   }
   const Duration memory = this->options.silence_memory * (1 << (condition.silences - 1));
-  condition.silent_until =
-      std::max(condition.silent_until, now + std::min(memory, this->options.longest_silence_memory));
+  condition.silent_until = std::max(condition.silent_until,
+                                    now + std::min(memory, this->options.longest_silence_memory));
 }
 
 bool LeafTracker::HeardSilent(const SilentLeaf& news, TimePoint now) {
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -51,11 +51,10 @@
   std::vector<HandOverAction> actions;
   const TimePoint now = BootClock::now();
   this->hand_over.Begin(ticket, call, *route, now, actions);
-  this->handed_over.emplace(
-      ticket, HandedOver{.request = std::move(request),
-                         .call = std::move(call),
-                         .route = route->name,
-                         .arrived = now});
+  this->handed_over.emplace(ticket, HandedOver{.request = std::move(request),
+                                               .call = std::move(call),
+                                               .route = route->name,
+                                               .arrived = now});
   this->ExecuteHandOver(std::move(actions));
 }
 
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -109,8 +109,9 @@
           {.on_sent = [](AttemptId) {},
            .on_reply = [this](AttemptId attempt,
                               HttpReply reply) { this->OnPeerReply(attempt, std::move(reply)); },
-           .on_failure = [this](AttemptId attempt,
-                                AttemptFailure failure) { this->OnPeerFailure(attempt, failure); }}),
+           .on_failure = [this](
+                             AttemptId attempt,
+                             AttemptFailure failure) { this->OnPeerFailure(attempt, failure); }}),
       peer_port(context,
                 {.on_request =
                      [this](std::uint64_t ticket, HttpRequest request, Duration) {
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -62,10 +62,10 @@
       const auto& routes = this->coordinator.routes();
       request.headers.push_back(
           {.name = kHandOverHeader,
-           .value = absl::StrCat(Microseconds(handed.call.outside), ",",
-                                 routes ? routes->version : 0, ",",
-                                 action.may_have_been_sent ? 1 : 0, ",",
-                                 cost ? std::to_string(Microseconds(*cost)) : "")});
+           .value =
+               absl::StrCat(Microseconds(handed.call.outside), ",", routes ? routes->version : 0,
+                            ",", action.may_have_been_sent ? 1 : 0, ",",
+                            cost ? std::to_string(Microseconds(*cost)) : "")});
       this->peer_pool.Send({.attempt = action.attempt,
                             .leaf = PeerServer(action.coordinator),
                             .repeatable = true,
--- a/tests/leaf_policy/leaf_tracker_test.cc
+++ b/tests/leaf_policy/leaf_tracker_test.cc
@@ -35,8 +35,8 @@
     CHECK(tracker.Choose({&far, &a}, usual, now) == &a);
   }
   SUBCASE("a slower leaf nearby is soon enough for a distant objective, not for a close one") {
-    // Pattern: leaves differ in speed by half; 44 of 100 parts crossed between data centres although
-    // each shard had a leaf nearby that would have answered in time.
+    // Pattern: leaves differ in speed by half; 44 of 100 parts crossed between data centres
+    // although each shard had a leaf nearby that would have answered in time.
     for (int i = 0; i < 12; ++i) {
       answer_after(a, milliseconds(18));
       now += milliseconds(50);
@@ -226,8 +226,8 @@
 }
 
 TEST_CASE("a pause says nothing about the next request") {
-  // Pattern: each leaf pauses for 250 ms each 6 s. One request that met the pause made the leaf look
-  // slow for 4 s, and a fifth of all parts came from another data centre.
+  // Pattern: each leaf pauses for 250 ms each 6 s. One request that met the pause made the leaf
+  // look slow for 4 s, and a fifth of all parts came from another data centre.
   LeafTracker tracker({.data_centre = DataCentre("east")}, 1);
   const LeafEntry near = LeafNamed("near");
   const LeafEntry far = LeafNamed("far", "west");
