--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -80,8 +80,9 @@
   explicit InputMemory(std::size_t limit) : limit(limit) {}  // bytes
 
   // `bytes`: all that the connection holds now. May end messages, also this one.
-  void Hold(const std::shared_ptr<Connection>& connection,
-            std::size_t bytes) requires RefusesInput<Connection> {
+  void Hold(const std::shared_ptr<Connection>& connection, std::size_t bytes) {
+    // Checked here, where a connection that is declared later is complete.
+    static_assert(RefusesInput<Connection>);
     Holder& holder = this->holders[connection.get()];
     holder.connection = connection;
     this->total += bytes - holder.bytes;
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -186,8 +186,14 @@
   double processor_use = 0.4;       // share of its processor that a coordinator may need
   double direct_share = 0.6;        // this share of the fleet as coordinators: all coordinate
   std::size_t watchers = 2;         // for each data centre
+  // Data centres with leaves of at least this share of the shards, relative to the one with most,
+  // have coordinators: the parts of an answer weigh more than the answer itself.
+  double least_leaf_share = 0.5;
 };
 
+// By data centre: the share of the widest route's shards that have a usable leaf there.
+using LeafShares = std::unordered_map<std::string, double>;
+
 // Every VM computes the same plan from the same members; differing views cost only efficiency.
 struct FleetPlan {
   bool direct = true;                     // every VM coordinates its own calls
@@ -201,11 +207,12 @@
   std::size_t vms = 1;
 };
 
-// `shards`: of the widest fan-out route. `live` holds `self`.
+// `shards`: of the widest fan-out route. `live` holds `self`. `leaf_shares`: empty if not known.
 FleetPlan MakeFleetPlan(const FleetPlanOptions& options,
                         const Peer& self,
                         const std::vector<Peer>& live,
-                        std::size_t shards);
+                        std::size_t shards,
+                        const LeafShares& leaf_shares = {});
 
 // ---- 5. DocumentFeed ----------------------------------------------------------------------------
 
@@ -307,11 +314,11 @@
 struct GossipMessage {
   Peer sender;
   std::vector<PeerReport> peers;
-  std::vector<CallRefusal> refusals;         // calls that crash leaves
-  std::uint64_t documents_as_of = 0;         // revision up to which the sender knows all documents
-  std::vector<SilentLeaf> silent_leaves;     // just seen by the sender
-  std::vector<LeavingLeaf> leaving_leaves;   // of the last seconds
-  std::vector<LeafCrash> crashes;            // just seen by the sender
+  std::vector<CallRefusal> refusals;        // calls that crash leaves
+  std::uint64_t documents_as_of = 0;        // revision up to which the sender knows all documents
+  std::vector<SilentLeaf> silent_leaves;    // just seen by the sender
+  std::vector<LeavingLeaf> leaving_leaves;  // of the last seconds
+  std::vector<LeafCrash> crashes;           // just seen by the sender
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -154,7 +154,8 @@
   void ScheduleHandOver();
   void AnswerWaitingPeers(bool all);
   PeerAddress OwnAddress() const;
-  std::size_t WidestRoute() const;
+  const Route* WidestRoute() const;
+  LeafShares MeasureLeafShares() const;
 
   // Gossip between VMs (node_gossip.h).
   void ReceiveGossip();
@@ -164,7 +165,6 @@
   void TellOfLeaves();
   std::vector<PeerAddress> SendersToLeaves();
   void SendNews(GossipMessage message, const std::vector<PeerAddress>& targets);
-  void LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by);
   void ActOnNotice(const LeafNotice& notice, const std::string& seen_by);
   void OnGossip(const GossipMessage& message, const PeerAddress& from);
   void UpdatePlan();
@@ -181,8 +181,8 @@
   void EndFeedCall(FeedOutcome outcome, bool peer_in_touch, std::string_view detail);
   void ApplyDocuments(const std::vector<DocumentChange>& news);
   void ApplyRoutes(const DocumentChange& change);
-  void ApplyLeaf(const LeafId& id, const DocumentChange& change);
-  void OnDirectoryEvents(const std::vector<DirectoryEvent>& events);
+  DirectoryEvent ApplyLeaf(const LeafId& id, const DocumentChange& change);
+  void LogDirectoryEvents(const std::vector<DirectoryEvent>& events);
   void WarmConnections();
 
   // Start, reload and stop (node_life.h).
--- a/src/edge/client_connection.cc
+++ b/src/edge/client_connection.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "edge/http_fields.h"
@@ -48,7 +49,7 @@
 }  // namespace
 
 ClientConnection::ClientConnection(asio::io_context& context, ClientConnectionOptions options)
-    : socket(context), connect_timer(context), options(options) {}
+    : socket(context), connect_timer(context), options(std::move(options)) {}
 
 void ClientConnection::Open(const asio::ip::tcp::endpoint& endpoint, Handlers new_handlers) {
   this->handlers = std::move(new_handlers);
@@ -244,8 +245,8 @@
   }
   // Bytes behind the reply belong to no request; a request that the server did not read to its end
   // leaves the connection in an unknown state.
-  const bool reusable = reply.keep_alive && owner == ReplyOwner::kRequest &&
-                        this->input.empty() && !this->writing;
+  const bool reusable =
+      reply.keep_alive && owner == ReplyOwner::kRequest && this->input.empty() && !this->writing;
   const auto self = this->shared_from_this();
   const auto on_reply = this->handlers.on_reply;
   if (!reusable) {
--- a/src/edge/connection_pool.cc
+++ b/src/edge/connection_pool.cc
@@ -26,7 +26,7 @@
 ConnectionPool::ConnectionPool(asio::io_context& context,
                                ConnectionPoolOptions options,
                                Handlers handlers)
-    : context(context), options(options), handlers(std::move(handlers)), timer(context) {
+    : context(context), options(std::move(options)), handlers(std::move(handlers)), timer(context) {
   this->Sweep();
 }
 
@@ -132,43 +132,44 @@
   ++this->total.opened;
   const std::weak_ptr<Slot> weak = slot;
   slot->connection->Open(
-      {ip, leaf.port}, {.on_open =
-                       [this, weak] {
-                         if (const SlotPtr open = weak.lock()) {
-                           open->connecting = false;
-                           this->ServeWaiting(open->leaf);
-                         }
-                       },
-                   .on_reply =
-                       [this, weak](HttpReply reply) {
-                         const SlotPtr answered = weak.lock();
-                         if (!answered) {
-                           return;
-                         }
-                         const AttemptId attempt = std::exchange(answered->attempt, 0);
-                         answered->linger_until.reset();
-                         if (!answered->connection->open_now()) {
-                           this->Drop(answered);
-                         }
-                         if (attempt != 0) {
-                           this->busy.erase(attempt);
-                           this->handlers.on_reply(attempt, std::move(reply));
-                         } else if (this->handlers.on_stray) {
-                           this->handlers.on_stray(answered->leaf, answered->leaf_started, reply);
-                         }
-                         this->ServeWaiting(answered->leaf);
-                       },
-                   .on_end =
-                       [this, weak](ConnectionEnd end) {
-                         if (const SlotPtr ended = weak.lock()) {
-                           this->SlotEnded(ended, end);
-                         }
-                       },
-                   .owner =
-                       [this, weak](const HttpReply& reply) {
-                         const SlotPtr answered = weak.lock();
-                         return answered ? this->OwnerOf(*answered, reply) : ReplyOwner::kOther;
-                       }});
+      {ip, leaf.port},
+      {.on_open =
+           [this, weak] {
+             if (const SlotPtr open = weak.lock()) {
+               open->connecting = false;
+               this->ServeWaiting(open->leaf);
+             }
+           },
+       .on_reply =
+           [this, weak](HttpReply reply) {
+             const SlotPtr answered = weak.lock();
+             if (!answered) {
+               return;
+             }
+             const AttemptId attempt = std::exchange(answered->attempt, 0);
+             answered->linger_until.reset();
+             if (!answered->connection->open_now()) {
+               this->Drop(answered);
+             }
+             if (attempt != 0) {
+               this->busy.erase(attempt);
+               this->handlers.on_reply(attempt, std::move(reply));
+             } else if (this->handlers.on_stray) {
+               this->handlers.on_stray(answered->leaf, answered->leaf_started, reply);
+             }
+             this->ServeWaiting(answered->leaf);
+           },
+       .on_end =
+           [this, weak](ConnectionEnd end) {
+             if (const SlotPtr ended = weak.lock()) {
+               this->SlotEnded(ended, end);
+             }
+           },
+       .owner =
+           [this, weak](const HttpReply& reply) {
+             const SlotPtr answered = weak.lock();
+             return answered ? this->OwnerOf(*answered, reply) : ReplyOwner::kOther;
+           }});
 }
 
 ReplyOwner ConnectionPool::OwnerOf(const Slot& slot, const HttpReply& reply) const {
--- a/src/fleet/fleet_plan.cc
+++ b/src/fleet/fleet_plan.cc
@@ -46,12 +46,23 @@
   }
 }
 
+// Whether coordinators of this data centre find leaves nearby.
+bool HasLeaves(const LeafShares& leaf_shares, const std::string& centre, double least) {
+  double most = 0;
+  for (const auto& [name, share] : leaf_shares) {
+    most = std::max(most, share);
+  }
+  const auto found = leaf_shares.find(centre);
+  return most <= 0 || (found != leaf_shares.end() && found->second >= least * most);
+}
+
 }  // namespace
 
 FleetPlan MakeFleetPlan(const FleetPlanOptions& options,
                         const Peer& self,
                         const std::vector<Peer>& live,
-                        std::size_t shards) {
+                        std::size_t shards,
+                        const LeafShares& leaf_shares) {
   FleetPlan plan;
   plan.vms = std::max<std::size_t>(1, live.size());
   std::map<std::string, std::vector<Peer>> centres;
@@ -63,7 +74,16 @@
     }
   }
   rate = std::max(rate, options.assumed_rate);
-  const double centre_count = std::max<double>(1, static_cast<double>(centres.size()));
+  const auto coordinating = [&](const std::string& centre) {
+    return HasLeaves(leaf_shares, centre, options.least_leaf_share);
+  };
+  const auto with_leaves = std::count_if(centres.begin(), centres.end(), [&](const auto& centre) {
+    return coordinating(centre.first);
+  });
+  // Without a VM beside the leaves, all data centres coordinate.
+  const bool anywhere = with_leaves == 0;
+  const double centre_count = std::max<double>(
+      1, static_cast<double>(anywhere ? centres.size() : static_cast<std::size_t>(with_leaves)));
   const double by_rate = rate / options.least_rate;
   plan.direct = by_rate >= options.direct_share * static_cast<double>(plan.vms);
   plan.self_coordinates = plan.direct;
@@ -86,7 +106,8 @@
     }
     const std::size_t count =
         std::min(peers.size(), std::max(by_load, CoarseCount(by_rate / centre_count / 4)));
-    for (std::size_t i = 0; i < count && !plan.direct; ++i) {
+    const bool coordinates = !plan.direct && (anywhere || coordinating(centre));
+    for (std::size_t i = 0; i < count && coordinates; ++i) {
       plan.self_coordinates = plan.self_coordinates || peers[i].address == self.address;
       (near ? plan.coordinators : far_coordinators).push_back(peers[i].address);
       ++plan.senders;
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -221,7 +221,13 @@
     if (!steps.empty()) {
       fields.push_back({"steps", std::move(steps)});
     }
-    this->log.Write("call", fields);
+    const bool failed = call.kind != AnswerKind::kPassed && call.kind != AnswerKind::kMerged &&
+                        call.reason != AnswerReason::kNoConfiguration;
+    if (failed) {
+      this->log.WriteAlways("call", fields);  // an operator will look for it
+    } else {
+      this->log.Write("call", fields);
+    }
   }
 }
 
--- a/src/node/node_documents.h
+++ b/src/node/node_documents.h
@@ -201,13 +201,14 @@
 template <PlatformTranslation Platform>
 void Node<Platform>::ApplyDocuments(const std::vector<DocumentChange>& news) {
   bool evacuations = false;
+  std::vector<DirectoryEvent> leaf_events;
   this->AnswerWaitingPeers(false);
   for (const DocumentChange& change : news) {
     const auto name = Platform::NameOfKey(change.key);
     if (name.kind == Platform::DocumentKind::kRoutes) {
       this->ApplyRoutes(change);
     } else if (name.kind == Platform::DocumentKind::kLeaf) {
-      this->ApplyLeaf(LeafId(name.name), change);
+      leaf_events.push_back(this->ApplyLeaf(LeafId(name.name), change));
     } else if (name.kind == Platform::DocumentKind::kEvacuation) {
       evacuations = true;
       this->log.WriteAlways("evacuation", {{"data_centre", name.name},
@@ -215,6 +216,7 @@
                                            {"revision", std::to_string(change.revision)}});
     }
   }
+  this->LogDirectoryEvents(leaf_events);
   if (evacuations) {
     std::unordered_set<std::string> centres;
     for (const DocumentChange& document : this->mirror.Snapshot()) {
@@ -256,39 +258,65 @@
 }
 
 template <PlatformTranslation Platform>
-void Node<Platform>::ApplyLeaf(const LeafId& id, const DocumentChange& change) {
+DirectoryEvent Node<Platform>::ApplyLeaf(const LeafId& id, const DocumentChange& change) {
   const TimePoint now = BootClock::now();
   if (change.removed) {
-    this->OnDirectoryEvents({this->directory.Remove(id, change.revision, now)});
-    return;
+    const DirectoryEvent event = this->directory.Remove(id, change.revision, now);
+    if (event.change == DirectoryChange::kRemoved) {
+      this->coordinator.tracker().Forget(id);
+    }
+    return event;
   }
   const auto entry = Platform::DecodeLeaf(id, change.value, change.revision);
   if (!entry.ok()) {
     this->log.Write("leaf_entry_skipped", {{"leaf", id.value},
                                            {"problem", std::string(entry.status().message())},
                                            {"revision", std::to_string(change.revision)}});
-    return;
+    return {};
+  }
+  const DirectoryEvent event = this->directory.Put(*entry, now);
+  if (event.change == DirectoryChange::kRestarted) {
+    this->coordinator.tracker().Forget(id);
   }
-  this->OnDirectoryEvents({this->directory.Put(*entry, now)});
   if (entry->warm_up_left > Duration::zero()) {
     this->coordinator.tracker().Cold(id, now + entry->warm_up_left, now);
   }
+  return event;
 }
 
 template <PlatformTranslation Platform>
-void Node<Platform>::OnDirectoryEvents(const std::vector<DirectoryEvent>& events) {
+void Node<Platform>::LogDirectoryEvents(const std::vector<DirectoryEvent>& events) {
+  // A list that is read at the start, or an index that is cut anew, is one change of belief.
+  constexpr std::size_t kMostSingleLines = 16;
+  std::map<std::string_view, std::size_t> counts;  // by name of the change
+  std::uint64_t newest = 0;
+  const auto changed = static_cast<std::size_t>(std::count_if(
+      events.begin(), events.end(),
+      [](const DirectoryEvent& event) { return event.change != DirectoryChange::kUnchanged; }));
   for (const DirectoryEvent& event : events) {
     if (event.change == DirectoryChange::kUnchanged) {
       continue;
     }
-    if (event.change == DirectoryChange::kRemoved || event.change == DirectoryChange::kRestarted) {
-      this->coordinator.tracker().Forget(event.leaf);
+    const std::string_view change = NameOf(kDirectoryChangeNames, event.change);
+    if (changed > kMostSingleLines) {
+      ++counts[change];
+      newest = std::max(newest, event.revision);
+      continue;
     }
     this->log.Write("leaf", {{"leaf", event.leaf.value},
                              {"service", event.service.value},
-                             {"change", std::string(NameOf(kDirectoryChangeNames, event.change))},
+                             {"change", std::string(change)},
                              {"revision", std::to_string(event.revision)}});
   }
+  if (counts.empty()) {
+    return;
+  }
+  std::vector<LogField> fields;
+  for (const auto& [change, count] : counts) {
+    fields.push_back({change, std::to_string(count)});
+  }
+  fields.push_back({"revision", std::to_string(newest)});
+  this->log.Write("leaves", fields);
 }
 
 // Opens a connection to each usable leaf of the routed services that has none, while all VMs
--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -47,9 +47,8 @@
     this->coordinator.crash_guard().Heard(crash, now);
   }
   for (const SilentLeaf& silent : message.silent_leaves) {
-    if (this->directory.Find(silent.leaf) != nullptr &&
-        this->coordinator.tracker().HeardSilent(silent, now)) {
-      this->LogSilentLeaf(silent, AddressText(from));
+    if (this->directory.Find(silent.leaf) != nullptr) {
+      this->coordinator.tracker().HeardSilent(silent, now);
     }
   }
   for (const LeavingLeaf& leaving : message.leaving_leaves) {
@@ -72,13 +71,6 @@
                                   {"seen_by", seen_by}});
 }
 
-template <PlatformTranslation Platform>
-void Node<Platform>::LogSilentLeaf(const SilentLeaf& silent, const std::string& seen_by) {
-  this->log.Write("leaf_silent", {{"leaf", silent.leaf.value},
-                                  {"waited_ms", MillisecondText(silent.waited)},
-                                  {"seen_by", seen_by}});
-}
-
 // Some of the VMs that send to the same leaves as this one.
 template <PlatformTranslation Platform>
 std::vector<PeerAddress> Node<Platform>::SendersToLeaves() {
@@ -115,16 +107,19 @@
   this->metrics.AddCounter("ibishold_silent_leaves_total", "Leaves seen silent by this VM")
       .Add(message.silent_leaves.size());
   for (const SilentLeaf& silent : message.silent_leaves) {
-    this->LogSilentLeaf(silent, "self");
+    this->log.Write("leaf_silent",
+                    {{"leaf", silent.leaf.value}, {"waited_ms", MillisecondText(silent.waited)}});
   }
   this->SendNews(std::move(message), this->SendersToLeaves());
 }
 
-// News of leaves beside the regular gossip. What does not fit is told when a request meets it again,
-// or with the next gossip.
+// News of leaves beside the regular gossip. What does not fit is told when a request meets it
+// again, or with the next gossip.
 template <PlatformTranslation Platform>
 void Node<Platform>::SendNews(GossipMessage message, const std::vector<PeerAddress>& targets) {
-  const auto cut = [](auto& items, std::size_t most) { items.resize(std::min(items.size(), most)); };
+  const auto cut = [](auto& items, std::size_t most) {
+    items.resize(std::min(items.size(), most));
+  };
   cut(message.leaving_leaves, this->options.leaving_leaves_told);
   cut(message.crashes, this->options.crashes_told);
   cut(message.silent_leaves, message.crashes.empty() && message.leaving_leaves.empty()
@@ -185,8 +180,10 @@
     this->rate_taken_at = now;
   }
   this->peer_table.self().stopping = this->stop_began.has_value();
-  FleetPlan next = MakeFleetPlan(this->options.plan, this->peer_table.self(),
-                                 this->peer_table.Live(now), this->WidestRoute());
+  const Route* widest = this->WidestRoute();
+  FleetPlan next =
+      MakeFleetPlan(this->options.plan, this->peer_table.self(), this->peer_table.Live(now),
+                    widest == nullptr ? 0 : widest->shards.size(), this->MeasureLeafShares());
   const bool settled = now - this->started_at > this->options.peers.first_time;
   next.vms = std::max(this->peer_table.LiveCount(now),
                       settled ? std::size_t{1} : this->options.assumed_vms);
--- a/src/node/node_life.h
+++ b/src/node/node_life.h
@@ -271,7 +271,11 @@
 template <PlatformTranslation Platform>
 void Node<Platform>::Tick() {
   const TimePoint now = BootClock::now();
-  this->OnDirectoryEvents(this->directory.Expire(now));
+  const std::vector<DirectoryEvent> expired = this->directory.Expire(now);
+  for (const DirectoryEvent& event : expired) {
+    this->coordinator.tracker().Forget(event.leaf);
+  }
+  this->LogDirectoryEvents(expired);
   if (this->stop_began) {
     this->CheckStopped();
   }
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -35,17 +35,40 @@
   return this->peer_table.self().address;
 }
 
+// The route with most shards, or null.
 template <PlatformTranslation Platform>
-std::size_t Node<Platform>::WidestRoute() const {
-  std::size_t widest = 0;
+const Route* Node<Platform>::WidestRoute() const {
+  const Route* widest = nullptr;
   if (const auto& routes = this->coordinator.routes()) {
     for (const Route& route : routes->routes) {
-      widest = std::max(widest, route.shards.size());
+      if (route.fan_out() && (widest == nullptr || route.shards.size() > widest->shards.size())) {
+        widest = &route;
+      }
     }
   }
   return widest;
 }
 
+template <PlatformTranslation Platform>
+LeafShares Node<Platform>::MeasureLeafShares() const {
+  LeafShares shares;
+  const Route* route = this->WidestRoute();
+  if (route == nullptr) {
+    return shares;
+  }
+  const double one = 1 / static_cast<double>(route->shards.size());
+  std::unordered_set<std::string> centres;  // of one shard
+  for (const ServiceName& shard : route->shards) {
+    centres.clear();
+    for (const LeafEntry* leaf : this->directory.Usable(shard)) {
+      if (centres.insert(leaf->data_centre.value).second) {
+        shares[leaf->data_centre.value] += one;
+      }
+    }
+  }
+  return shares;
+}
+
 // ---- calls that are handed over -----------------------------------------------------------------
 
 template <PlatformTranslation Platform>
--- a/tests/dispatch/crash_guard_test.cc
+++ b/tests/dispatch/crash_guard_test.cc
@@ -111,8 +111,7 @@
   Random random(5);
   std::size_t crashed = 0;
   for (int i = 0; i < 200; ++i) {
-    crashed += RunCall(fixture, "/one/1",
-                       [&](const SendAction&) { return random.Below(2) == 0; });
+    crashed += RunCall(fixture, "/one/1", [&](const SendAction&) { return random.Below(2) == 0; });
   }
   CHECK(crashed <= 12);
 }
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -67,12 +67,13 @@
   }
 
   CallId Begin(const std::string& path, std::uint64_t fingerprint = 1) {
-    const CallId id = this->coordinator.Begin({.request_id = this->vm + std::to_string(++this->requests),
-                                               .host = "h",
-                                               .path = path,
-                                               .time_left = milliseconds(1000),
-                                               .fingerprint = fingerprint},
-                                              this->now, this->actions);
+    const CallId id =
+        this->coordinator.Begin({.request_id = this->vm + std::to_string(++this->requests),
+                                 .host = "h",
+                                 .path = path,
+                                 .time_left = milliseconds(1000),
+                                 .fingerprint = fingerprint},
+                                this->now, this->actions);
     this->MarkSent();
     return id;
   }
--- a/tests/dispatch/leaf_notice_test.cc
+++ b/tests/dispatch/leaf_notice_test.cc
@@ -7,10 +7,7 @@
 namespace {
 
 LeafReply Notice(bool leaving, std::optional<Duration> come_back_after = std::nullopt) {
-  return {.status = 503,
-          .not_run = true,
-          .leaving = leaving,
-          .come_back_after = come_back_after};
+  return {.status = 503, .not_run = true, .leaving = leaving, .come_back_after = come_back_after};
 }
 
 }  // namespace
--- a/tests/edge/client_connection_test.cc
+++ b/tests/edge/client_connection_test.cc
@@ -20,7 +20,7 @@
          .on_end = [this](ConnectionEnd end) { this->ended = end; },
          .owner =
              [this](const HttpReply& reply) {
-               return reply.header("Id").empty()               ? ReplyOwner::kUnnamed
+               return reply.header("Id").empty()                ? ReplyOwner::kUnnamed
                       : reply.header("Id") == this->expected_id ? ReplyOwner::kRequest
                                                                 : ReplyOwner::kOther;
              }});
@@ -104,9 +104,9 @@
   SUBCASE("a late second reply that names no request is not taken for the next one's") {
     // Pattern: a server sends a second copy of an answer, late, on a connection that is in use
     // again; without a name it looks like the answer to the request in progress.
-    server.scripts = {{.bytes = Response("1", "hello")},
-                      {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello" +
-                                Response("2", "next")}};
+    server.scripts = {
+        {.bytes = Response("1", "hello")},
+        {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello" + Response("2", "next")}};
     send();
     client.expected_id = "2";
     send();
@@ -127,7 +127,8 @@
   }
   SUBCASE("the server says how long it keeps the connection") {
     server.scripts = {
-        {.bytes = "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n"}};
+        {.bytes =
+             "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n"}};
     send();
     REQUIRE(client.replies.size() == 1);
     CHECK(client.replies[0].keep_alive_time == std::chrono::seconds(4));
--- a/tests/edge/endless_input_test.cc
+++ b/tests/edge/endless_input_test.cc
@@ -19,23 +19,22 @@
   void Send(const Script& script) {
     this->server.scripts.push_back(script);
     auto connection = std::make_shared<ClientConnection>(
-        this->context, ClientConnectionOptions{.body_limit = kVmMemory / 16, .memory = this->memory});
-    connection->Open(this->server.endpoint(),
-                     {.on_open =
-                          [connection] {
-                            connection->Send({.method = "GET", .target = "/x", .host = "h"});
-                          },
-                      .on_reply = [this](const HttpReply&) { ++this->replies; },
-                      .on_end =
-                          [this](ConnectionEnd end) {
-                            ++this->ended;
-                            this->spoiled += end == ConnectionEnd::kSpoiled ? 1 : 0;
-                          },
-                      .owner =
-                          [](const HttpReply& reply) {
-                            return reply.header("Id") == "other" ? ReplyOwner::kOther
-                                                                 : ReplyOwner::kRequest;
-                          }});
+        this->context,
+        ClientConnectionOptions{.body_limit = kVmMemory / 16, .memory = this->memory});
+    connection->Open(
+        this->server.endpoint(),
+        {.on_open =
+             [connection] { connection->Send({.method = "GET", .target = "/x", .host = "h"}); },
+         .on_reply = [this](const HttpReply&) { ++this->replies; },
+         .on_end =
+             [this](ConnectionEnd end) {
+               ++this->ended;
+               this->spoiled += end == ConnectionEnd::kSpoiled ? 1 : 0;
+             },
+         .owner =
+             [](const HttpReply& reply) {
+               return reply.header("Id") == "other" ? ReplyOwner::kOther : ReplyOwner::kRequest;
+             }});
     this->connections.push_back(connection);
   }
   // Until all connections have ended or replied; remembers the most memory that was held.
@@ -166,8 +165,9 @@
 
 TEST_CASE("damaged replies and requests end, whatever they hold") {
   Random random(11);
-  const std::string reply = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\n"
-                            "hello\r\n0\r\nX: y\r\n\r\n";
+  const std::string reply =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\n"
+      "hello\r\n0\r\nX: y\r\n\r\n";
   for (int i = 0; i < 400; ++i) {
     boost::asio::io_context context;
     Fleet fleet(context);
--- a/tests/edge/scripted_server.h
+++ b/tests/edge/scripted_server.h
@@ -15,10 +15,10 @@
 
 // What the server does with one request.
 struct Script {
-  std::string bytes;   // written as they are
-  bool close = false;  // then ends the connection in order
-  bool reset = false;  // then resets it
-  std::string later;   // written 30 ms after the first bytes
+  std::string bytes;    // written as they are
+  bool close = false;   // then ends the connection in order
+  bool reset = false;   // then resets it
+  std::string later;    // written 30 ms after the first bytes
   std::string endless;  // written again and again until the client closes
 };
 
--- a/tests/fleet/fleet_plan_test.cc
+++ b/tests/fleet/fleet_plan_test.cc
@@ -84,6 +84,46 @@
   }
 }
 
+TEST_CASE("coordinators sit beside the leaves") {
+  // Pattern: 295 VMs in five data centres, leaves in three of them. A coordinator without leaves
+  // nearby has 180 parts cross between data centres where one answer would do.
+  const auto peers = Fleet(295, 48, 5);
+  const LeafShares shares = {{"dc0", 1.0}, {"dc1", 0.98}, {"dc2", 1.0}};
+  const auto centres_of = [&](const FleetPlan& plan) {
+    std::set<std::string> centres;
+    for (const Peer& peer : peers) {
+      if (std::find(plan.coordinators.begin(), plan.coordinators.end(), peer.address) !=
+          plan.coordinators.end()) {
+        centres.insert(peer.data_centre.value);
+      }
+    }
+    return centres;
+  };
+  const FleetPlan near = MakeFleetPlan({}, peers[0], peers, 180, shares);
+  CHECK(near.near_coordinators >= 1);
+  CHECK(centres_of(near) == std::set<std::string>{"dc0", "dc1", "dc2"});
+  SUBCASE("VMs elsewhere hand over to them") {
+    const FleetPlan far = MakeFleetPlan({}, peers[3], peers, 180, shares);
+    CHECK(far.near_coordinators == 0);
+    CHECK_FALSE(far.self_coordinates);
+    CHECK(far.senders == near.senders);
+    CHECK(centres_of(far) == centres_of(near));
+  }
+  SUBCASE("an evacuation moves them") {
+    const LeafShares evacuated = {{"dc1", 0.98}, {"dc2", 1.0}};
+    CHECK(centres_of(MakeFleetPlan({}, peers[0], peers, 180, evacuated)) ==
+          std::set<std::string>{"dc1", "dc2"});
+  }
+  SUBCASE("the loss of some leaves does not") {
+    const LeafShares fewer = {{"dc0", 0.7}, {"dc1", 0.98}, {"dc2", 1.0}};
+    CHECK(centres_of(MakeFleetPlan({}, peers[0], peers, 180, fewer)) == centres_of(near));
+  }
+  SUBCASE("without any VM beside the leaves, or before leaves are known, they are everywhere") {
+    CHECK(centres_of(MakeFleetPlan({}, peers[0], peers, 180, {{"elsewhere", 1.0}})).size() == 5);
+    CHECK(centres_of(MakeFleetPlan({}, peers[0], peers, 180)).size() == 5);
+  }
+}
+
 TEST_CASE("watchers do not grow with the fleet") {
   for (const std::size_t count : {std::size_t{13}, std::size_t{139}, std::size_t{1100}}) {
     const auto peers = Fleet(count, 60, 4);
