--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -191,8 +191,8 @@
   }
   for (const CallId id : open) {
     Progress& progress = this->calls.at(id);
-    const bool enough = progress.route->fan_out() && progress.done > 0 &&
-                        progress.done >= LeastShards(progress);
+    const bool enough =
+        progress.route->fan_out() && progress.done > 0 && progress.done >= LeastShards(progress);
     this->Finish(id, progress,
                  enough ? Merged(progress, AnswerReason::kPartialAtStop)
                         : this->Failure(progress, AnswerReason::kStopping, now),
--- a/src/leaf_policy/crash_guard.cc
+++ b/src/leaf_policy/crash_guard.cc
@@ -97,8 +97,9 @@
 
 Duration CrashGuard::RefusedFor(std::uint64_t fingerprint, TimePoint now) const {
   const auto found = this->entries.find(fingerprint);
-  return found == this->entries.end() ? Duration::zero()
-                                      : std::max(Duration::zero(), found->second.refused_until - now);
+  return found == this->entries.end()
+             ? Duration::zero()
+             : std::max(Duration::zero(), found->second.refused_until - now);
 }
 
 Duration CrashGuard::BlockedFor(std::uint64_t fingerprint,
