--- a/src/node/node_documents.h
+++ b/src/node/node_documents.h
@@ -261,7 +261,7 @@
 DirectoryEvent Node<Platform>::ApplyLeaf(const LeafId& id, const DocumentChange& change) {
   const TimePoint now = BootClock::now();
   if (change.removed) {
-    const DirectoryEvent event = this->directory.Remove(id, change.revision, now);
+    DirectoryEvent event = this->directory.Remove(id, change.revision, now);
     if (event.change == DirectoryChange::kRemoved) {
       this->coordinator.tracker().Forget(id);
     }
@@ -274,7 +274,7 @@
                                            {"revision", std::to_string(change.revision)}});
     return {};
   }
-  const DirectoryEvent event = this->directory.Put(*entry, now);
+  DirectoryEvent event = this->directory.Put(*entry, now);
   if (event.change == DirectoryChange::kRestarted) {
     this->coordinator.tracker().Forget(id);
   }
@@ -312,6 +312,7 @@
     return;
   }
   std::vector<LogField> fields;
+  fields.reserve(counts.size() + 1);
   for (const auto& [change, count] : counts) {
     fields.push_back({change, std::to_string(count)});
   }
