--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -88,6 +88,7 @@
     def __init__(self, lab):
         self.lab, self.items, self.log, self.revision = lab, {}, [], 1
         self.connections, self.changed = set(), asyncio.Event()
+        self.silent = set()  # ports whose machines get no answer
 
     def put(self, key, value):
         self.revision += 1
@@ -108,6 +109,14 @@
         self.changed = asyncio.Event()
 
     async def serve(self, method, target, headers, body, connection):
+        """Answers one call. A call that meets the silence of its port gets no answer, and its connection none any more."""
+        port = connection.transport.get_extra_info("sockname")[1]
+        answer = await self.find_answer(target, port)
+        if port in self.silent:
+            await asyncio.get_running_loop().create_future()
+        return answer
+
+    async def find_answer(self, target, port):
         await asyncio.sleep(0.004)
         path, _, query = target.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&"))
@@ -274,7 +283,7 @@
     def choose_network(self, nodes):
         for _ in range(200):
             network = f"127.{random.randint(20, 250)}.{random.randint(0, 255)}."
-            wanted = [(network + "250", STORE_PORT)] + [
+            wanted = [(network + "250", STORE_PORT + index) for index in range(nodes)] + [
                 (f"{network}{index + 1}", port) for index in range(nodes)
                 for port in (CALLER_PORT, CONTROL_PORT, READY_PORT, METRICS_PORT)]
             if all(self.is_free(*address) for address in wanted):
@@ -309,7 +318,8 @@
         self.choose_network(len(zones))
         self.store = Store(self)
         loop = asyncio.get_running_loop()
-        self.store_server = await loop.create_server(lambda: HttpServer(self.store), self.network + "250", STORE_PORT)
+        for index in range(len(zones)):  # one port of the store for each machine
+            await loop.create_server(lambda: HttpServer(self.store), self.network + "250", STORE_PORT + index)
 
     def write_settings(self, index):
         ip = self.node_ip(index)
@@ -330,7 +340,7 @@
             "bounds.graceS": 6, "bounds.lossSlackMs": 200, "bounds.configMs": 3000, "bounds.rollbackSlackMs": 250,
             "bounds.maxSkewMs": 12000, "bounds.retryRatio": 0.2, "bounds.retryWindowS": 10, "bounds.retrySlack": 113,
             "bounds.warmupExcess": 1.5, "bounds.warmupSlack": 5, "bounds.evacMs": 5000, "bounds.recoverS": 12,
-            "platform.address": f"{self.network}250:{STORE_PORT}", "platform.form": "read", "platform.writesPerS": 400,
+            "platform.address": f"{self.network}250:{STORE_PORT + index}", "platform.form": "read", "platform.writesPerS": 400,
             "platform.readsPerS": 2000, "platform.historyS": 20, "platform.valueBytes": 1048576,
             "platform.ttlMinMs": 1000, **self.extra_settings}
         path = self.temporary / f"{index}.conf"
