--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -109,14 +109,15 @@
         self.changed = asyncio.Event()
 
     async def serve(self, method, target, headers, body, connection):
-        """Answers one call. A call that meets the silence of its port gets no answer, and its connection none any more."""
+        """Answers one call. While its port is silent, calls and answers are lost, and the connection returns nothing more."""
         port = connection.transport.get_extra_info("sockname")[1]
-        answer = await self.find_answer(target, port)
-        if port in self.silent:
+        lost = port in self.silent
+        answer = await self.find_answer(target)
+        if lost or port in self.silent:
             await asyncio.get_running_loop().create_future()
         return answer
 
-    async def find_answer(self, target, port):
+    async def find_answer(self, target):
         await asyncio.sleep(0.004)
         path, _, query = target.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&"))
