--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -436,17 +436,23 @@
 
     async def limited():
         return await asyncio.wait_for(case(lab), 110)
+
+    def end(*_):
+        raise CannotRun("stopped by a signal")
+    signal.signal(signal.SIGTERM, end)
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+        for text in broken:
+            lab.note("BROKEN: " + text)
+            print("BROKEN:", text)
+        verdict = "the rule was broken" if broken else "the rule held"
+        lab.note(verdict)
+        print(verdict)
+        code = 1 if broken else 0
+    except Exception as problem:  # whatever goes wrong, the case says nothing on the rule
         lab.note(f"could not run: {problem!r}")
         print(f"could not run: {problem!r}")
+        code = 2
+    finally:
         lab.close()
-        sys.exit(2)
-    for text in broken:
-        lab.note("BROKEN: " + text)
-        print("BROKEN:", text)
-    lab.note("the rule was broken" if broken else "the rule held")
-    print("the rule was broken" if broken else "the rule held")
-    lab.close()
-    sys.exit(1 if broken else 0)
+    sys.exit(code)
