Send nothing for a call in the step that answers it

Cause: one step of the coordinator requested the send of a waiting call and then found its deadline passed. The verdict looks at Attempt::sent, which is set when the send is carried out, after the step. Begin had the same order for calls that arrive with less time left than the margins, and a fan-out call for the shard that is sent in the step in which too few shards remain. Evidence: the call's log line, "refused time_limit sends=1 steps=0.0 leaves_busy; 3087.6 sent; 3087.6 given_up", beside the leaf's record. Change: no send is requested once an answer is due, and the end of a call withdraws the sends of its own step, whatever ended it. Tests: single_call_test (two cases) and coordinator_test (one); all three failed before the change.

--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -188,6 +188,8 @@
                         TimePoint now,
                         Actions& actions);
   void AnswerOrSchedule(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
+  // Sends the waiting shards whose retry is due, and considers the hedges that are due.
+  void SendDueShards(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
   void ConsiderHedge(CallId id,
                      CallProgress& progress,
                      Shard& shard,
@@ -201,11 +203,21 @@
   // Retry-After of the leaves, or retry_after_no_leaf for a shard without one.
   Duration ComputeTimeUntilServable(const CallProgress& progress, TimePoint now) const;
   bool RouteOrRefuse(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
+  // Removes the attempt's SendAction. Returns false if it is not in `actions`, because it was
+  // carried out in an earlier step.
+  static bool WithdrawSend(AttemptId attempt, Actions& actions);
+  // Ends the call. Sends that the same step requested are withdrawn, because the answer may state
+  // that the call has not run and will not run.
   void Finish(CallId id, CallProgress& progress, Answer answer, TimePoint now, Actions& actions);
   static Answer BuildMergedAnswer(CallProgress& progress, AnswerReason reason);
   Answer BuildFailureAnswer(CallProgress& progress, AnswerReason reason, TimePoint now);
   Answer BuildRefusal(AnswerReason reason, Duration retry_after);
   static std::size_t CountRequiredShards(const CallProgress& progress);
+  // True if enough shards have replied for an answer, possibly a partial one.
+  static bool HasEnoughShards(const CallProgress& progress);
+  // True if the deadline has passed, or if a partial answer is possible and due. Nothing may be
+  // sent for the call any more.
+  static bool IsAnswerDue(const CallProgress& progress, TimePoint now);
   Duration ComputeHedgeDelay(const Route& route);
   void ScheduleTimer(CallId id, CallProgress& progress);
   static void AddEvent(CallProgress& progress,
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -52,8 +52,10 @@
       this->options.time_limit_margin;
   progress.partial_answer_at = now + route.objective - already_elapsed -
                                stored_call.external_latency - this->options.objective_margin;
-  for (Shard& shard : progress.shards) {
-    this->StartShard(id, progress, shard, now, actions);
+  if (!IsAnswerDue(progress, now)) {
+    for (Shard& shard : progress.shards) {
+      this->StartShard(id, progress, shard, now, actions);
+    }
   }
   this->AnswerOrSchedule(id, progress, now, actions);
   return id;
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -5,6 +5,15 @@
 
 namespace ibishold {
 
+bool Coordinator::HasEnoughShards(const CallProgress& progress) {
+  return progress.done_shards > 0 && progress.done_shards >= CountRequiredShards(progress);
+}
+
+bool Coordinator::IsAnswerDue(const CallProgress& progress, TimePoint now) {
+  return now >= progress.deadline ||
+         (now >= progress.partial_answer_at && HasEnoughShards(progress));
+}
+
 // Answers the call if no better answer is possible or a deadline has passed, else schedules its
 // timer.
 void Coordinator::AnswerOrSchedule(CallId id,
@@ -12,8 +21,7 @@
                                    TimePoint now,
                                    Actions& actions) {
   const std::size_t shard_count = progress.shards.size();
-  const bool enough_shards =
-      progress.done_shards > 0 && progress.done_shards >= CountRequiredShards(progress);
+  const bool enough_shards = HasEnoughShards(progress);
   if (progress.done_shards == shard_count) {
     if (progress.route->fan_out()) {
       this->Finish(id, progress, BuildMergedAnswer(progress, AnswerReason::kComplete), now,
@@ -57,7 +65,7 @@
 
 void Coordinator::ScheduleTimer(CallId id, CallProgress& progress) {
   TimePoint next_timer = progress.deadline;
-  if (progress.done_shards > 0 && progress.done_shards >= CountRequiredShards(progress)) {
+  if (HasEnoughShards(progress)) {
     next_timer = std::min(next_timer, progress.partial_answer_at);
   }
   for (const Shard& shard : progress.shards) {
@@ -75,6 +83,13 @@
   this->timers.emplace(next_timer, id);
 }
 
+bool Coordinator::WithdrawSend(AttemptId attempt, Actions& actions) {
+  return std::erase_if(actions, [attempt](const Action& action) {
+           const auto* send = std::get_if<SendAction>(&action);
+           return send != nullptr && send->attempt == attempt;
+         }) > 0;
+}
+
 void Coordinator::Finish(CallId id,
                          CallProgress& progress,
                          Answer answer,
@@ -99,11 +114,15 @@
   const bool caller_left = answer.reason == AnswerReason::kCallerLeft;
   for (Shard& shard : progress.shards) {
     for (const Attempt& running_attempt : shard.running_attempts) {
+      const bool withdrawn = !running_attempt.sent && WithdrawSend(running_attempt.id, actions);
       if (!caller_left) {
-        AddEvent(progress, now, "given_up", shard, running_attempt.leaf);
+        AddEvent(progress, now, withdrawn ? "withdrawn" : "given_up", shard, running_attempt.leaf);
       }
       this->shards_by_attempt.erase(running_attempt.id);
       this->leaf_tracker.RecordCancellation(running_attempt.id, now);
+      if (withdrawn) {
+        continue;
+      }
       actions.push_back(CancelAction{
           .attempt = running_attempt.id,
           .late_reply_grace = caller_left ? Duration::zero() : this->options.late_reply_grace});
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -172,7 +172,7 @@
   const Route& route = *progress.route;
   const bool retry_allowed = (not_run || route.repeatable) &&
                              shard.counted_attempts < progress.attempt_limit &&
-                             shard.total_attempts < kSendLimit && now < progress.deadline;
+                             shard.total_attempts < kSendLimit && !IsAnswerDue(progress, now);
   shard.state = ShardState::kFailed;
   if (retry_allowed) {
     // If the budget has not counted a first send yet, this attempt is the first one, not an extra.
@@ -201,8 +201,7 @@
   }
   for (const CallId id : call_ids) {
     CallProgress& progress = this->calls.at(id);
-    const bool enough_shards = progress.route->fan_out() && progress.done_shards > 0 &&
-                               progress.done_shards >= CountRequiredShards(progress);
+    const bool enough_shards = progress.route->fan_out() && HasEnoughShards(progress);
     this->Finish(id, progress,
                  enough_shards ? BuildMergedAnswer(progress, AnswerReason::kPartialAtStop)
                                : this->BuildFailureAnswer(progress, AnswerReason::kStopping, now),
@@ -216,17 +215,27 @@
     this->timers.erase(this->timers.begin());
     CallProgress& progress = this->calls.at(id);
     progress.timer_at = {};
-    for (Shard& shard : progress.shards) {
-      if (shard.state == ShardState::kWaiting && shard.retry_at <= now) {
-        this->StartShard(id, progress, shard, now, actions);
-      } else if (shard.state == ShardState::kRunning && shard.hedge_at <= now) {
-        this->ConsiderHedge(id, progress, shard, now, actions);
-      }
+    // The process may have been paused, so several times of the call can be due at once.
+    if (!IsAnswerDue(progress, now)) {
+      this->SendDueShards(id, progress, now, actions);
     }
     this->AnswerOrSchedule(id, progress, now, actions);
   }
 }
 
+void Coordinator::SendDueShards(CallId id,
+                                CallProgress& progress,
+                                TimePoint now,
+                                Actions& actions) {
+  for (Shard& shard : progress.shards) {
+    if (shard.state == ShardState::kWaiting && shard.retry_at <= now) {
+      this->StartShard(id, progress, shard, now, actions);
+    } else if (shard.state == ShardState::kRunning && shard.hedge_at <= now) {
+      this->ConsiderHedge(id, progress, shard, now, actions);
+    }
+  }
+}
+
 void Coordinator::ConsiderHedge(CallId id,
                                 CallProgress& progress,
                                 Shard& shard,
@@ -243,9 +252,8 @@
   }
   const auto min_useful_time = Duration(static_cast<Duration::rep>(
       kMinUsefulTimeShare * static_cast<double>(this->EstimateTypicalLatency(route).count())));
-  const bool enough_shards =
-      progress.done_shards >= CountRequiredShards(progress) && progress.done_shards > 0;
-  if (now + min_useful_time > (enough_shards ? progress.partial_answer_at : progress.deadline)) {
+  if (now + min_useful_time >
+      (HasEnoughShards(progress) ? progress.partial_answer_at : progress.deadline)) {
     AddEventOnce(progress, now, "too_late", shard, {});
     return;
   }
--- a/tests/dispatch/coordinator_test.cc
+++ b/tests/dispatch/coordinator_test.cc
@@ -163,6 +163,38 @@
   }
 }
 
+// Guards against a refusal that promises "not run" while the same step sends one of the shards.
+TEST_CASE("a fan-out call that is refused in the step that sends one of its shards") {
+  // One connection to each leaf, all of them in use.
+  DispatchFixture fixture(4, {.connection_share = 0.02});
+  fixture.Begin("/all/1");
+  fixture.Begin("/all/2");
+  const std::vector<SendAction> running = fixture.GetSendActions();
+  REQUIRE(running.size() == 8);
+  fixture.Clear();
+  fixture.Begin("/all/3");
+  REQUIRE(fixture.GetSendActions().empty());
+
+  // A leaf of the first shard becomes free, and two of the four shards lose all leaves.
+  for (const SendAction& send : running) {
+    if (send.leaf.id == LeafId("shard-0a")) {
+      fixture.Reply(send);
+    }
+    if (send.leaf.service == ServiceName("shard-2") ||
+        send.leaf.service == ServiceName("shard-3")) {
+      fixture.coordinator.OnLeafNotice(send.leaf.id, send.leaf.started,
+                                       {.status = 200, .leaving = true}, fixture.now);
+    }
+  }
+  fixture.Clear();
+  fixture.now += milliseconds(6);
+  fixture.coordinator.OnTimer(fixture.now, fixture.actions);
+  REQUIRE(fixture.GetAnswers().size() == 1);
+  CHECK(fixture.GetAnswers()[0].kind == AnswerKind::kRefused);
+  CHECK(fixture.GetAnswers()[0].reason == AnswerReason::kTooFewShards);
+  CHECK(fixture.GetSendActions().empty());
+}
+
 TEST_CASE("the objective of a caller's retry counts from its first attempt") {
   // Guards against partial answers after the objective, when the caller has spent part of the
   // objective on a refused attempt.
--- a/tests/dispatch/single_call_test.cc
+++ b/tests/dispatch/single_call_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "dispatch/dispatch_fixture.h"
 
 namespace ibishold {
@@ -71,6 +73,56 @@
   }
 }
 
+// Guards against a refusal that promises "not run" in the step in which the request is sent, as
+// when a VM resumes after a pause that lasted beyond the deadline of a waiting call.
+TEST_CASE("a call that waits for a leaf when its deadline passes during a pause of the VM") {
+  // One connection to each of the two leaves.
+  DispatchFixture fixture(4, {.connection_share = 0.02});
+  fixture.Begin("/one/1");
+  fixture.Begin("/one/2");
+  const std::vector<SendAction> running = fixture.GetSendActions();
+  REQUIRE(running.size() == 2);
+  fixture.Clear();
+
+  SUBCASE("is refused without being sent, although a leaf is free") {
+    fixture.Begin("/order/1");
+    REQUIRE(fixture.GetSendActions().empty());
+    fixture.now += milliseconds(1500);
+    fixture.Reply(running[0]);
+    fixture.Clear();
+    fixture.coordinator.OnTimer(fixture.now, fixture.actions);
+    CHECK(fixture.GetSendActions().empty());
+    const std::vector<Answer> answers = fixture.GetAnswers();
+    const auto refused = std::count_if(answers.begin(), answers.end(), [](const Answer& answer) {
+      return answer.kind == AnswerKind::kRefused && answer.retry_after > Duration::zero();
+    });
+    CHECK(refused == 1);
+  }
+  SUBCASE("is sent when a leaf is free before the deadline") {
+    fixture.Begin("/order/1");
+    fixture.now += milliseconds(500);
+    fixture.Reply(running[0]);
+    fixture.Clear();
+    fixture.coordinator.OnTimer(fixture.now, fixture.actions);
+    CHECK(fixture.GetSendActions().size() == 1);
+  }
+}
+
+// Guards against a call that arrives too late to be served being sent and refused in one step.
+TEST_CASE("a call that arrives with less time left than the margins of this VM") {
+  for (const std::string path : {"/order/1", "/one/1", "/all/1"}) {
+    CAPTURE(path);
+    DispatchFixture fixture;
+    fixture.coordinator.Begin(
+        {.request_id = "late", .host = "h", .path = path, .time_left = milliseconds(12)},
+        fixture.now, fixture.actions);
+    CHECK(fixture.GetSendActions().empty());
+    REQUIRE(fixture.GetAnswers().size() == 1);
+    CHECK(fixture.GetAnswers()[0].kind == AnswerKind::kRefused);
+    CHECK(fixture.coordinator.in_progress() == 0);
+  }
+}
+
 TEST_CASE("a repeatable call to one service") {
   DispatchFixture fixture;
   fixture.Begin("/one/1");
