Don't refuse a call as not run if another coordinator may have sent it

Cause: a call that is handed over a second time carries may_have_been_sent, which the second coordinator used for its limits and its budget, but not for its verdict, so it could answer 503 for a call that leaves ran for the first one. Change: such a call starts with may_have_run, and BuildRefusal returns a failure for it. Test: coordinator_test, both sections failed before the change.

--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -211,7 +211,8 @@
   void Finish(CallId id, CallProgress& progress, Answer answer, TimePoint now, Actions& actions);
   static Answer BuildMergedAnswer(CallProgress& progress, AnswerReason reason);
   Answer BuildFailureAnswer(CallProgress& progress, AnswerReason reason, TimePoint now);
-  Answer BuildRefusal(AnswerReason reason, Duration retry_after);
+  // Returns a refusal, or a failure if leaves may have run the call.
+  Answer BuildRefusal(const CallProgress& progress, AnswerReason reason, Duration retry_after);
   static std::size_t CountRequiredShards(const CallProgress& progress);
   // True if enough shards have replied for an answer, possibly a partial one.
   static bool HasEnoughShards(const CallProgress& progress);
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -32,6 +32,7 @@
   const CallId id = ++this->last_call_id;
   CallProgress& progress = this->calls[id];
   progress.call = std::move(call);
+  progress.may_have_run = progress.call.may_have_been_sent;
   progress.arrived_at = now;
   progress.route_table = this->route_table;
   if (this->RouteOrRefuse(id, progress, now, actions)) {
@@ -69,7 +70,7 @@
                                 Actions& actions) {
   if (progress.route_table == nullptr) {
     this->Finish(id, progress,
-                 this->BuildRefusal(AnswerReason::kNoConfiguration,
+                 this->BuildRefusal(progress, AnswerReason::kNoConfiguration,
                                     this->options.retry_after_no_configuration),
                  now, actions);
     return true;
@@ -83,8 +84,9 @@
   if (const Duration refusal_time_left =
           this->call_crash_guard.GetRefusalTimeLeft(progress.call.fingerprint, now);
       refusal_time_left > Duration::zero()) {
-    this->Finish(id, progress, this->BuildRefusal(AnswerReason::kCrashesLeaves, refusal_time_left),
-                 now, actions);
+    this->Finish(id, progress,
+                 this->BuildRefusal(progress, AnswerReason::kCrashesLeaves, refusal_time_left), now,
+                 actions);
     return true;
   }
   const Route& route = *progress.route;
@@ -113,14 +115,15 @@
     return false;
   }
   if (longest_block > Duration::zero()) {
-    this->Finish(id, progress, this->BuildRefusal(AnswerReason::kCrashesLeaves, longest_block), now,
+    this->Finish(id, progress,
+                 this->BuildRefusal(progress, AnswerReason::kCrashesLeaves, longest_block), now,
                  actions);
     return true;
   }
-  this->Finish(
-      id, progress,
-      this->BuildRefusal(AnswerReason::kNoLeaf, this->ComputeTimeUntilServable(progress, now)), now,
-      actions);
+  this->Finish(id, progress,
+               this->BuildRefusal(progress, AnswerReason::kNoLeaf,
+                                  this->ComputeTimeUntilServable(progress, now)),
+               now, actions);
   return true;
 }
 
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -169,15 +169,21 @@
         .reason = reason};
   }
   if (progress.refused_by_leaf) {
-    return this->BuildRefusal(AnswerReason::kOverload,
+    return this->BuildRefusal(progress, AnswerReason::kOverload,
                               std::max(2 * this->EstimateTypicalLatency(*progress.route),
                                        this->ComputeTimeUntilServable(progress, now)));
   }
-  return this->BuildRefusal(reason, std::max(this->options.retry_after_no_leaf,
-                                             this->ComputeTimeUntilServable(progress, now)));
+  return this->BuildRefusal(
+      progress, reason,
+      std::max(this->options.retry_after_no_leaf, this->ComputeTimeUntilServable(progress, now)));
 }
 
-Answer Coordinator::BuildRefusal(AnswerReason reason, Duration retry_after) {
+Answer Coordinator::BuildRefusal(const CallProgress& progress,
+                                 AnswerReason reason,
+                                 Duration retry_after) {
+  if (progress.may_have_run) {
+    return {.kind = AnswerKind::kFailed, .reason = reason};
+  }
   // Without jitter, callers that were refused at the same moment would retry at the same moment.
   constexpr double kRetryAfterJitterShare = 0.3;
   return {.kind = AnswerKind::kRefused,
--- a/tests/dispatch/coordinator_test.cc
+++ b/tests/dispatch/coordinator_test.cc
@@ -195,6 +195,43 @@
   CHECK(fixture.GetSendActions().empty());
 }
 
+// Guards against a promise of "not run" for a call that an earlier coordinator may have sent.
+TEST_CASE("a call that another VM may have sent already fails instead of being refused") {
+  DispatchFixture fixture;
+  const auto begin_sent_call = [&] {
+    fixture.coordinator.Begin({.request_id = "r",
+                               .host = "h",
+                               .path = "/all/1",
+                               .time_left = milliseconds(1000),
+                               .may_have_been_sent = true},
+                              fixture.now, fixture.actions);
+  };
+  SUBCASE("when no leaf is usable") {
+    fixture.directory.SetEvacuated({"east", "west"});
+    begin_sent_call();
+    REQUIRE(fixture.GetAnswers().size() == 1);
+    CHECK(fixture.GetAnswers()[0].kind == AnswerKind::kFailed);
+  }
+  SUBCASE("when all leaves refuse it") {
+    DispatchFixture single_shard_fixture(1);
+    single_shard_fixture.coordinator.Begin({.request_id = "r",
+                                            .host = "h",
+                                            .path = "/all/1",
+                                            .time_left = milliseconds(1000),
+                                            .may_have_been_sent = true},
+                                           single_shard_fixture.now, single_shard_fixture.actions);
+    while (single_shard_fixture.GetAnswers().empty()) {
+      const std::vector<SendAction> sends = single_shard_fixture.GetSendActions();
+      REQUIRE_FALSE(sends.empty());
+      single_shard_fixture.Clear();
+      for (const SendAction& send : sends) {
+        single_shard_fixture.Reply(send, 503, true);
+      }
+    }
+    CHECK(single_shard_fixture.GetAnswers()[0].kind == AnswerKind::kFailed);
+  }
+}
+
 TEST_CASE("the objective of a caller's retry counts from its first attempt") {
   // Guards against partial answers after the objective, when the caller has spent part of the
   // objective on a refused attempt.
