--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -233,6 +233,15 @@
   // Minimum time between the starts of two watch calls, so that a burst of changes costs one call.
   Duration watch_interval = std::chrono::milliseconds(500);
   Duration watch_wait = std::chrono::seconds(30);  // the longest wait that the store allows
+  // Time limit for an answer of the store, added to the time that a watch asks the store to wait.
+  Duration store_timeout = std::chrono::milliseconds(1500);
+  // The same while no document is known. It is shorter, because a store that did not answer may
+  // answer a new request.
+  Duration initial_store_timeout = std::chrono::milliseconds(600);
+  // Time that a peer is asked to wait for new documents before it answers. A peer that hangs is
+  // noticed within this time plus `peer_timeout`.
+  Duration peer_wait = std::chrono::milliseconds(1000);
+  Duration peer_timeout = std::chrono::milliseconds(400);     // for the answer, beyond that wait
   Duration initial_backoff = std::chrono::milliseconds(100);  // after the first failure; doubles
   Duration max_backoff = std::chrono::milliseconds(1000);
   // Maximum backoff while the VM has no documents: it refuses all callers then, so it retries
@@ -257,11 +266,16 @@
   kAskPeer,  // long poll at a peer for changes after `after`
 };
 
+inline constexpr std::array<std::string_view, 4> kFeedStepNames = {"wait", "list", "watch",
+                                                                   "ask_peer"};
+
 struct FeedAction {
   FeedStep step = FeedStep::kWait;
   TimePoint at{};
   std::uint64_t after = 0;
-  PeerAddress peer;  // for kAskPeer
+  PeerAddress peer;       // for kAskPeer
+  Duration wait{};        // for kWatch and kAskPeer: time that the source may wait for a change
+  Duration time_limit{};  // the call has failed if its answer has not arrived after this time
 };
 
 enum class FeedOutcome : std::uint8_t {
@@ -305,6 +319,7 @@
 
  private:
   std::optional<PeerAddress> ChoosePeer(const FleetPlan& plan, TimePoint now);
+  FeedAction MakePeerCall(const PeerAddress& peer, std::uint64_t as_of, TimePoint now) const;
 
   DocumentFeedOptions options;
   Random random;
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -66,11 +66,6 @@
   DocumentFeedOptions feed;
   LeafDirectoryOptions directory;
   EventLogOptions log;
-  // Time limit for an answer of the store, added to the time that a watch asks the store to wait.
-  Duration store_timeout = std::chrono::milliseconds(1500);
-  // The same while no document is known. It is shorter, because a store that did not answer may
-  // answer a new request.
-  Duration initial_store_timeout = std::chrono::milliseconds(600);
   // Interval at which connections to the leaves of routed services are opened in advance.
   Duration preconnect_interval = std::chrono::milliseconds(500);
   Duration settings_reload_interval = std::chrono::seconds(2);
@@ -87,10 +82,6 @@
   FleetPlanOptions plan;
   HandOverOptions hand_over;
   CallerPathOptions caller_path;
-  // Time that a peer is asked to wait for new documents before it answers. A peer that hangs is
-  // noticed within this time plus `peer_timeout`.
-  Duration peer_long_poll_time = std::chrono::milliseconds(1000);
-  Duration peer_timeout = std::chrono::milliseconds(400);  // for the answer, beyond that wait
   // Most entries of each kind in one gossip datagram, so that it fits into one Ethernet frame.
   std::size_t max_silent_leaves = 24;
   std::size_t max_leaving_leaves = 8;
@@ -256,7 +247,8 @@
   std::string feed_host;                              // address and port that it is connected to
   std::vector<DocumentChange> listed_documents;       // from the pages of the list in progress
   std::uint64_t list_revision = 0;                    // as_of of the first page of that list
-  FeedStep feed_step = FeedStep::kWait;               // step of the feed request in progress
+  FeedAction feed_action;                             // feed request in progress, or the last one
+  TimePoint feed_started_at{};                        // start of that request
   std::optional<HttpRequest> pending_feed_request;    // sent once the connection is open
   bool store_in_touch = false;
   bool documents_in_touch = false;
--- a/src/fleet/document_feed.cc
+++ b/src/fleet/document_feed.cc
@@ -22,12 +22,12 @@
   if (this->next_peer) {
     const PeerAddress peer = *this->next_peer;
     this->next_peer.reset();
-    return {.step = FeedStep::kAskPeer, .at = now, .after = as_of, .peer = peer};
+    return this->MakePeerCall(peer, as_of, now);
   }
   const bool store_failing = this->failures >= this->options.failures_before_peers;
   if (!store_due || (store_failing && !this->last_was_peer)) {
     if (const std::optional<PeerAddress> peer = this->ChoosePeer(plan, now)) {
-      return {.step = FeedStep::kAskPeer, .at = now, .after = as_of, .peer = *peer};
+      return this->MakePeerCall(*peer, as_of, now);
     }
   }
   const bool list = this->list_needed || as_of == 0;
@@ -41,7 +41,29 @@
   if (now < at) {
     return {.step = FeedStep::kWait, .at = at};
   }
-  return {.step = list ? FeedStep::kList : FeedStep::kWatch, .at = now, .after = as_of};
+  if (list) {
+    return {.step = FeedStep::kList,
+            .at = now,
+            .after = as_of,
+            .time_limit =
+                as_of == 0 ? this->options.initial_store_timeout : this->options.store_timeout};
+  }
+  return {.step = FeedStep::kWatch,
+          .at = now,
+          .after = as_of,
+          .wait = this->options.watch_wait,
+          .time_limit = this->options.watch_wait + this->options.store_timeout};
+}
+
+FeedAction DocumentFeed::MakePeerCall(const PeerAddress& peer,
+                                      std::uint64_t as_of,
+                                      TimePoint now) const {
+  return {.step = FeedStep::kAskPeer,
+          .at = now,
+          .after = as_of,
+          .peer = peer,
+          .wait = this->options.peer_wait,
+          .time_limit = this->options.peer_wait + this->options.peer_timeout};
 }
 
 // Chooses a random watcher of the own data centre, or of another one if none of them is usable.
--- a/src/node/node_documents.h
+++ b/src/node/node_documents.h
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "ibishold/node.h"
+#include "node/node_calls.h"
 
 namespace ibishold {
 
@@ -29,31 +30,25 @@
     return;
   }
   this->feed.OnStarted(action, now);
-  this->feed_step = action.step;
+  this->feed_action = action;
+  this->feed_started_at = now;
   const auto& store_endpoint = this->settings.store;
   const std::string host = absl::StrCat(store_endpoint.address, ":", store_endpoint.port);
   if (action.step == FeedStep::kList) {
     this->listed_documents.clear();
     this->list_revision = 0;
     this->StartFeedRequest(Platform::BuildListRequest(host, ""), store_endpoint.address,
-                           store_endpoint.port,
-                           this->mirror.initialized() ? this->options.store_timeout
-                                                      : this->options.initial_store_timeout);
+                           store_endpoint.port, action.time_limit);
   } else if (action.step == FeedStep::kWatch) {
-    const Duration wait = this->options.feed.watch_wait;
-    this->StartFeedRequest(Platform::BuildWatchRequest(host, action.after, wait),
-                           store_endpoint.address, store_endpoint.port,
-                           wait + this->options.store_timeout);
+    this->StartFeedRequest(Platform::BuildWatchRequest(host, action.after, action.wait),
+                           store_endpoint.address, store_endpoint.port, action.time_limit);
   } else {
     const std::string address = boost::asio::ip::address_v4(action.peer.ip).to_string();
-    const auto wait_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->options.peer_long_poll_time)
-            .count();
+    const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.wait).count();
     this->StartFeedRequest({.method = "GET",
                             .target = absl::StrCat(kDocumentsPath, "?", action.after, ",", wait_ms),
                             .host = address},
-                           address, action.peer.port,
-                           this->options.peer_long_poll_time + this->options.peer_timeout);
+                           address, action.peer.port, action.time_limit);
   }
 }
 
@@ -97,10 +92,10 @@
                    .on_reply =
                        [this](const HttpReply& reply) {
                          this->feed_request_timer.cancel();
-                         if (this->feed_step == FeedStep::kAskPeer) {
+                         if (this->feed_action.step == FeedStep::kAskPeer) {
                            this->OnPeerDocuments(reply);
                          } else {
-                           this->OnStoreReply(this->feed_step, reply);
+                           this->OnStoreReply(this->feed_action.step, reply);
                          }
                        },
                    .on_end =
@@ -155,7 +150,7 @@
   if (result.page.more && !this->listed_documents.empty()) {
     this->StartFeedRequest(
         Platform::BuildListRequest(this->feed_host, this->listed_documents.back().key),
-        this->settings.store.address, this->settings.store.port, this->options.store_timeout);
+        this->settings.store.address, this->settings.store.port, this->feed_action.time_limit);
     return;
   }
   const auto changes =
@@ -181,7 +176,7 @@
                                     std::string_view detail) {
   const TimePoint now = BootClock::now();
   this->feed.OnEnded(outcome, peer_in_touch, now);
-  const bool peer = this->feed_step == FeedStep::kAskPeer;
+  const bool peer = this->feed_action.step == FeedStep::kAskPeer;
   this->metrics
       .AddCounter("ibishold_document_reads_total", "Calls for published documents",
                   {{"source", peer ? "peer" : "store"},
@@ -194,6 +189,7 @@
       {"outcome", std::string(ToName(kFeedOutcomeNames, outcome))},
       {"source", peer ? this->feed_host : "store"},
       {"cause", std::string(detail)},
+      {"waited_ms", FormatMilliseconds(now - this->feed_started_at)},
       {"documents_as_of", std::to_string(this->mirror.as_of())}};
   if (!peer && this->store_in_touch != this->feed.store_in_touch()) {
     this->store_in_touch = this->feed.store_in_touch();
