Notice a lost watch of the store within 3.5 s

Cause: after each change all watchers send their next watch at once, into the silence, where it is lost. A watch had 31.5 s to be answered, and nothing else shows that the store is back if no VM knows more than the others. Evidence: the last routes line, and no store_lost after it, on every VM; the stand-in store answers other calls all the while. Change: a watch waits 2 s. The first watch after a call that was not served asks for an answer at once, and follows a failed watch without backoff, since that one may have been lost long before.

--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -232,7 +232,13 @@
 struct DocumentFeedOptions {
   // Minimum time between the starts of two watch calls, so that a burst of changes costs one call.
   Duration watch_interval = std::chrono::milliseconds(500);
-  Duration watch_wait = std::chrono::seconds(30);  // the longest wait that the store allows
+  // Time that the store may wait for a change before it answers a watch. A watch that was lost is
+  // noticed only after this time plus `store_timeout`, and the sum must stay below the time that
+  // the platform allows a VM to catch up after an outage of the store.
+  Duration watch_wait = std::chrono::seconds(2);
+  // The same for the first watch after a call that was not served. It shows whether the store
+  // answers before a longer wait relies on it.
+  Duration recheck_wait = std::chrono::milliseconds(1);
   // Time limit for an answer of the store, added to the time that a watch asks the store to wait.
   Duration store_timeout = std::chrono::milliseconds(1500);
   // The same while no document is known. It is shorter, because a store that did not answer may
@@ -326,6 +332,7 @@
   bool call_in_progress = false;
   bool list_needed = true;
   bool store_succeeded = false;
+  bool store_confirmed = false;  // the most recent call to the store was served
   bool newest_call_in_touch = false;
   bool last_was_peer = false;
   int failures = 0;  // consecutive, of the store
--- a/src/fleet/document_feed.cc
+++ b/src/fleet/document_feed.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "ibishold/fleet.h"
 
@@ -48,11 +49,13 @@
             .time_limit =
                 as_of == 0 ? this->options.initial_store_timeout : this->options.store_timeout};
   }
+  const Duration wait =
+      this->store_confirmed ? this->options.watch_wait : this->options.recheck_wait;
   return {.step = FeedStep::kWatch,
           .at = now,
           .after = as_of,
-          .wait = this->options.watch_wait,
-          .time_limit = this->options.watch_wait + this->options.store_timeout};
+          .wait = wait,
+          .time_limit = wait + this->options.store_timeout};
 }
 
 FeedAction DocumentFeed::MakePeerCall(const PeerAddress& peer,
@@ -135,12 +138,18 @@
     return;
   }
   this->newest_call_in_touch = served;
+  const bool was_confirmed = std::exchange(this->store_confirmed, served);
   if (served) {
     this->list_needed = outcome == FeedOutcome::kHistoryGone;
     this->failures = 0;
     this->store_succeeded = true;
     return;
   }
+  if (was_confirmed && outcome == FeedOutcome::kFailed && this->current.step == FeedStep::kWatch) {
+    // The watch may have been lost at any time of its wait, so this failure does not show whether
+    // the store answers now. The next watch does, and it is not delayed.
+    return;
+  }
   const Duration backoff =
       std::min(this->options.max_backoff,
                this->options.initial_backoff * (1 << std::min(this->failures, kMaxDoublings)));
