Let the whole fleet know of calls that crash leaves

Cause: from 21 VMs on, crash reports went to the coordinators only. They run the calls that fan out; a call of one leaf is run by the VM that gets it. Regular messages repeated refusals of whole calls, but no blocks at one service, and always the same eight. Change: a crash is told to 16 random VMs. A VM that knows of two crashes of a service or of a refusal passes it on to four VMs when it learns of it, and repeats it in regular messages. Reports carry their age, news about to expire is not adopted, and reports don't count where the call was answered in the last minute. The log has a line call_refusal.

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -62,19 +62,20 @@
   std::uint64_t started = 0;  // LeafEntry::started of the run that is leaving
 };
 
-// A leaf whose connection broke while it ran a call. All members are hash values that are the same
-// on every VM.
+// A leaf whose connection broke while it ran a call. The hash values are the same on every VM.
 struct LeafCrash {
   std::uint64_t fingerprint = 0;  // Call::fingerprint
   std::uint64_t request = 0;      // hash of Call::request_id
   std::uint64_t service = 0;      // hash of the service name
   std::uint64_t leaf = 0;         // hash of the leaf's id and the start time of its run
+  Duration age{};                 // time since the crash, or since a later crash by the same call
 };
 
 // Calls with this fingerprint are refused, because they crash leaves.
 struct CallRefusal {
   std::uint64_t fingerprint = 0;
-  Duration time_left{};  // time until the refusal ends
+  std::uint64_t service = 0;  // hash of the only service that must not get the call; 0: every one
+  Duration time_left{};       // time until the refusal ends
 };
 
 struct HeaderField {
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -88,6 +88,7 @@
   std::size_t max_crashes = 12;
   std::size_t max_refusals = 8;
   std::size_t leaf_report_targets = 16;  // VMs that receive a report about leaves
+  std::size_t crash_news_targets = 4;    // VMs that this VM passes news of crashes on to
   // Delay of the first read of the store when the whole system starts, so that the gossip of peers
   // arrives first.
   Duration first_store_read_delay = std::chrono::milliseconds(350);
@@ -164,7 +165,9 @@
   void SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now);
   void SendMessage(const GossipMessage& message, const std::vector<PeerAddress>& targets);
   void ProcessLeafReports();
+  void ForwardCrashNews();
   std::vector<PeerAddress> PickLeafReportTargets();
+  std::vector<PeerAddress> PickRandomPeers(std::size_t count);
   void SendLeafReports(GossipMessage message, const std::vector<PeerAddress>& targets);
   void ApplyLeafNotice(const LeafNotice& notice, const std::string& seen_by);
   void OnGossip(const GossipMessage& message, const PeerAddress& from);
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -257,6 +257,7 @@
 struct CallRefusal {
   fingerprint @0 :UInt64;
   leftMs @1 :UInt32;                    # that the call will still be refused
+  service @2 :UInt64;                   # hash; the call is refused there only; 0: everywhere
 }
 
 # Stable hashes.
@@ -265,6 +266,7 @@
   request @1 :UInt64;                   # of the caller's attempt
   service @2 :UInt64;
   leaf @3 :UInt64;                      # of one run of the leaf
+  ageMs @4 :UInt32;                     # time since the crash, or since a later one of this call
 }
 
 struct LeavingLeaf {
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -551,7 +551,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db229c8644aba313, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(db229c8644aba313, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -566,7 +566,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea147d84111eaecb, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ea147d84111eaecb, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3623,6 +3623,8 @@
 
   inline  ::uint32_t getLeftMs() const;
 
+  inline  ::uint64_t getService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3657,6 +3659,9 @@
   inline  ::uint32_t getLeftMs();
   inline void setLeftMs( ::uint32_t value);
 
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3708,6 +3713,8 @@
 
   inline  ::uint64_t getLeaf() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3748,6 +3755,9 @@
   inline  ::uint64_t getLeaf();
   inline void setLeaf( ::uint64_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8057,6 +8067,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CallRefusal::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallRefusal::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CallRefusal::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LeafCrash::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8113,6 +8137,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LeafCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeafCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeavingLeaf::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -98,7 +98,7 @@
       });
   if (reply.success() && !repeated_signature) {
     this->GetRecentLatency(route).Record(now - ended_attempt->started_at);
-    this->call_crash_guard.RecordSuccess(progress->call.fingerprint, shard->service_hash);
+    this->call_crash_guard.RecordSuccess(progress->call.fingerprint, shard->service_hash, now);
     shard->state = ShardState::kDone;
     shard->reply = std::move(reply);
     if (route.fan_out()) {
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -110,6 +110,7 @@
   auto refusals = root.initRefusals(static_cast<unsigned>(message.refusals.size()));
   for (unsigned i = 0; i < message.refusals.size(); ++i) {
     refusals[i].setFingerprint(message.refusals[i].fingerprint);
+    refusals[i].setService(message.refusals[i].service);
     refusals[i].setLeftMs(Milliseconds(message.refusals[i].time_left));
   }
   auto crashes = root.initCrashes(static_cast<unsigned>(message.crashes.size()));
@@ -118,6 +119,7 @@
     crashes[i].setRequest(message.crashes[i].request);
     crashes[i].setService(message.crashes[i].service);
     crashes[i].setLeaf(message.crashes[i].leaf);
+    crashes[i].setAgeMs(Milliseconds(message.crashes[i].age));
   }
   root.setDocumentsAsOf(message.documents_as_of);
   auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
@@ -156,13 +158,15 @@
     }
     for (const auto refusal : root.getRefusals()) {
       message.refusals.push_back({.fingerprint = refusal.getFingerprint(),
+                                  .service = refusal.getService(),
                                   .time_left = std::chrono::milliseconds(refusal.getLeftMs())});
     }
     for (const auto crash : root.getCrashes()) {
       message.crashes.push_back({.fingerprint = crash.getFingerprint(),
                                  .request = crash.getRequest(),
                                  .service = crash.getService(),
-                                 .leaf = crash.getLeaf()});
+                                 .leaf = crash.getLeaf(),
+                                 .age = std::chrono::milliseconds(crash.getAgeMs())});
     }
   });
   return read ? std::optional<GossipMessage>(std::move(message)) : std::nullopt;
--- a/src/leaf_policy/crash_guard.cc
+++ b/src/leaf_policy/crash_guard.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "ibishold/leaf_policy.h"
@@ -12,33 +13,65 @@
   return std::find(items.begin(), items.end(), item) != items.end();
 }
 
+std::uint64_t MakeSuccessKey(std::uint64_t fingerprint, std::uint64_t service_hash) {
+  return fingerprint ^ std::rotl(service_hash, 1);
+}
+
 }  // namespace
 
-CrashGuard::CrashGuard(CrashGuardOptions options) : options(options) {}
+CrashGuard::CrashGuard(CrashGuardOptions options)
+    : options(options), successes(std::max<std::size_t>(options.success_slots, 1)) {}
 
 CrashGuard::Entry& CrashGuard::FindOrInsert(std::uint64_t fingerprint, TimePoint now) {
   if (this->entries.size() >= this->options.max_fingerprints &&
       !this->entries.contains(fingerprint)) {
     this->entries.erase(std::min_element(this->entries.begin(), this->entries.end(),
                                          [](const auto& a, const auto& b) {
-                                           return a.second.last_report_at < b.second.last_report_at;
+                                           return a.second.last_used_at < b.second.last_used_at;
                                          }));
   }
   Entry& entry = this->entries[fingerprint];
-  if (now - entry.last_report_at > this->options.crash_retention && entry.refused_until <= now) {
-    entry = {};
+  entry.last_used_at = now;
+  if (now - entry.last_crash_at > this->options.crash_retention) {
+    // Blocks last longer than the crashes that led to them.
+    entry.request_hashes.clear();
+    std::erase_if(entry.services,
+                  [now](const ServiceCrashes& service) { return service.blocked_until <= now; });
+    for (ServiceCrashes& service : entry.services) {
+      service.score = 0;
+      service.leaf_hashes.clear();
+    }
   }
-  entry.last_report_at = now;
   return entry;
 }
 
+CrashGuard::ServiceCrashes* CrashGuard::FindOrInsertService(Entry& entry,
+                                                            std::uint64_t service_hash) const {
+  const auto found = std::find_if(
+      entry.services.begin(), entry.services.end(),
+      [&](const ServiceCrashes& candidate) { return candidate.service_hash == service_hash; });
+  if (found != entry.services.end()) {
+    return &*found;
+  }
+  if (entry.services.size() >= this->options.max_services) {
+    return nullptr;  // the recorded services suffice to refuse the call
+  }
+  return &entry.services.emplace_back(ServiceCrashes{.service_hash = service_hash});
+}
+
 void CrashGuard::RecordCrash(const LeafCrash& crash, TimePoint now) {
-  if (this->RecordPeerCrash(crash, now)) {
+  if (this->Record(crash, now)) {
     this->reports.push_back(crash);
   }
 }
 
 bool CrashGuard::RecordPeerCrash(const LeafCrash& crash, TimePoint now) {
+  return crash.age <= this->options.max_adopted_age &&
+         !this->WasAnsweredRecently(crash.fingerprint, crash.service, now) &&
+         this->Record(crash, now);
+}
+
+bool CrashGuard::Record(const LeafCrash& crash, TimePoint now) {
   Entry& entry = this->FindOrInsert(crash.fingerprint, now);
   const bool is_new_request =
       !Contains(entry.request_hashes, crash.request) && entry.request_hashes.size() < 2;
@@ -46,21 +79,18 @@
     entry.request_hashes.push_back(crash.request);
   }
   const bool is_new_leaf = this->AddCrashedLeaf(entry, crash);
+  if (!is_new_request && !is_new_leaf) {
+    return false;
+  }
+  entry.last_crash_at = std::max(entry.last_crash_at, now - crash.age);
   this->ApplyLimits(entry, now);
-  return is_new_request || is_new_leaf;
+  this->MarkChanged(crash.fingerprint, entry);
+  return true;
 }
 
 bool CrashGuard::AddCrashedLeaf(Entry& entry, const LeafCrash& crash) const {
-  auto service = std::find_if(
-      entry.services.begin(), entry.services.end(),
-      [&](const ServiceCrashes& candidate) { return candidate.service_hash == crash.service; });
-  if (service == entry.services.end()) {
-    if (entry.services.size() >= this->options.max_services) {
-      return false;  // the recorded services suffice to refuse the call
-    }
-    service = entry.services.insert(service, {.service_hash = crash.service});
-  }
-  if (Contains(service->leaf_hashes, crash.leaf) ||
+  ServiceCrashes* service = this->FindOrInsertService(entry, crash.service);
+  if (service == nullptr || Contains(service->leaf_hashes, crash.leaf) ||
       service->leaf_hashes.size() >= this->options.max_leaves_per_service) {
     return false;  // each run of a leaf counts as one crash
   }
@@ -84,7 +114,22 @@
   }
 }
 
-void CrashGuard::RecordSuccess(std::uint64_t fingerprint, std::uint64_t service_hash) {
+bool CrashGuard::IsSuspect(const ServiceCrashes& service) const {
+  return service.leaf_hashes.size() >= this->options.suspicion_limit &&
+         service.score >= static_cast<double>(this->options.suspicion_limit);
+}
+
+void CrashGuard::MarkChanged(std::uint64_t fingerprint, Entry& entry) {
+  if (!std::exchange(entry.has_news, true)) {
+    this->changed_calls.push_back(fingerprint);
+  }
+}
+
+void CrashGuard::RecordSuccess(std::uint64_t fingerprint,
+                               std::uint64_t service_hash,
+                               TimePoint now) {
+  const std::uint64_t key = MakeSuccessKey(fingerprint, service_hash);
+  this->successes[key % this->successes.size()] = {.key = key, .at = now};
   const auto found = this->entries.find(fingerprint);
   if (found == this->entries.end()) {
     return;
@@ -96,6 +141,14 @@
   }
 }
 
+bool CrashGuard::WasAnsweredRecently(std::uint64_t fingerprint,
+                                     std::uint64_t service_hash,
+                                     TimePoint now) const {
+  const std::uint64_t key = MakeSuccessKey(fingerprint, service_hash);
+  const Success& success = this->successes[key % this->successes.size()];
+  return success.key == key && now - success.at <= this->options.crash_retention;
+}
+
 bool CrashGuard::HasActiveRefusal(std::uint64_t fingerprint, TimePoint now) const {
   return this->GetRefusalTimeLeft(fingerprint, now) > Duration::zero();
 }
@@ -123,19 +176,75 @@
 }
 
 void CrashGuard::MergeRefusal(const CallRefusal& refusal, TimePoint now) {
+  if (refusal.time_left < this->options.min_adopted_time_left ||
+      (refusal.service != 0 &&
+       this->WasAnsweredRecently(refusal.fingerprint, refusal.service, now))) {
+    return;
+  }
   Entry& entry = this->FindOrInsert(refusal.fingerprint, now);
-  entry.refused_until = std::max(entry.refused_until,
-                                 now + std::min(refusal.time_left, this->options.refusal_duration));
+  TimePoint* refused_until = &entry.refused_until;
+  if (refusal.service != 0) {
+    ServiceCrashes* service = this->FindOrInsertService(entry, refusal.service);
+    if (service == nullptr) {
+      return;
+    }
+    refused_until = &service->blocked_until;
+  }
+  if (*refused_until > now) {
+    return;
+  }
+  *refused_until = now + std::min(refusal.time_left, this->options.refusal_duration);
+  this->MarkChanged(refusal.fingerprint, entry);
 }
 
-std::vector<CallRefusal> CrashGuard::ListRefusals(TimePoint now) const {
-  std::vector<CallRefusal> refusals;
-  for (const auto& [fingerprint, entry] : this->entries) {
-    if (entry.refused_until > now) {
-      refusals.push_back({.fingerprint = fingerprint, .time_left = entry.refused_until - now});
+void CrashGuard::AppendNews(std::uint64_t fingerprint,
+                            const Entry& entry,
+                            TimePoint now,
+                            CrashNews& news) const {
+  if (entry.refused_until > now) {
+    news.refusals.push_back({.fingerprint = fingerprint, .time_left = entry.refused_until - now});
+    return;
+  }
+  const Duration age = now - entry.last_crash_at;
+  for (const ServiceCrashes& service : entry.services) {
+    if (service.blocked_until > now) {
+      news.refusals.push_back({.fingerprint = fingerprint,
+                               .service = service.service_hash,
+                               .time_left = service.blocked_until - now});
+      continue;
     }
+    if (!this->IsSuspect(service) || age > this->options.crash_retention) {
+      continue;
+    }
+    for (std::size_t i = 0; i < std::min(service.leaf_hashes.size(), this->options.crash_limit);
+         ++i) {
+      news.crashes.push_back({.fingerprint = fingerprint,
+                              .request = entry.request_hashes[i % entry.request_hashes.size()],
+                              .service = service.service_hash,
+                              .leaf = service.leaf_hashes[i],
+                              .age = age});
+    }
+  }
+}
+
+CrashNews CrashGuard::TakeNews(TimePoint now) {
+  CrashNews news;
+  for (const std::uint64_t fingerprint : std::exchange(this->changed_calls, {})) {
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end()) {
+      found->second.has_news = false;
+      this->AppendNews(fingerprint, found->second, now, news);
+    }
+  }
+  return news;
+}
+
+CrashNews CrashGuard::ListNews(TimePoint now) const {
+  CrashNews news;
+  for (const auto& [fingerprint, entry] : this->entries) {
+    this->AppendNews(fingerprint, entry, now, news);
   }
-  return refusals;
+  return news;
 }
 
 std::vector<LeafCrash> CrashGuard::TakeReports() {
--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -72,22 +72,36 @@
                                   {"seen_by", seen_by}});
 }
 
-// Random choice of the VMs that send requests to the same leaves as this one.
+// Reduces `items` to a random choice of at most `count`.
+template <typename Item>
+void KeepRandom(std::vector<Item>& items, std::size_t count, Random& random) {
+  for (std::size_t i = 0; i < std::min(items.size(), count); ++i) {
+    std::swap(items[i], items[i + random.NextBelow(items.size() - i)]);
+  }
+  items.resize(std::min(items.size(), count));
+}
+
+// Random choice of the VMs that send fan-out requests to the same leaves as this one.
 template <PlatformTranslation Platform>
 std::vector<PeerAddress> Node<Platform>::PickLeafReportTargets() {
-  std::vector<PeerAddress> targets = this->plan.coordinators;
   if (this->plan.direct) {
-    targets.clear();
-    for (const Peer& peer : this->peer_table.UsablePeers(BootClock::now())) {
-      targets.push_back(peer.address);
-    }
+    return this->PickRandomPeers(this->options.leaf_report_targets);
   }
+  std::vector<PeerAddress> targets = this->plan.coordinators;
   std::erase(targets, this->own_address());
   // The number of receivers is constant, so that the messages of each VM don't grow with the fleet.
-  for (std::size_t i = 0; i < std::min(targets.size(), this->options.leaf_report_targets); ++i) {
-    std::swap(targets[i], targets[i + this->random.NextBelow(targets.size() - i)]);
+  KeepRandom(targets, this->options.leaf_report_targets, this->random);
+  return targets;
+}
+
+template <PlatformTranslation Platform>
+std::vector<PeerAddress> Node<Platform>::PickRandomPeers(std::size_t count) {
+  std::vector<PeerAddress> targets;
+  for (const Peer& peer : this->peer_table.UsablePeers(BootClock::now())) {
+    targets.push_back(peer.address);
   }
-  targets.resize(std::min(targets.size(), this->options.leaf_report_targets));
+  std::erase(targets, this->own_address());
+  KeepRandom(targets, count, this->random);
   return targets;
 }
 
@@ -112,7 +126,30 @@
     this->log.Write("leaf_silent", {{"leaf", silent_leaf.leaf.value},
                                     {"waited_ms", FormatMilliseconds(silent_leaf.request_age)}});
   }
+  std::vector<LeafCrash> crashes = message.crashes;
   this->SendLeafReports(std::move(message), this->PickLeafReportTargets());
+  if (!crashes.empty() && !this->plan.direct) {
+    // Calls of one leaf are run by the VM that gets them, whatever the plan, so any VM may get the
+    // next request of the call.
+    this->SendLeafReports({.crashes = std::move(crashes)},
+                          this->PickRandomPeers(this->options.leaf_report_targets));
+  }
+}
+
+// Passes on what this VM has just learned about calls that crash leaves.
+template <PlatformTranslation Platform>
+void Node<Platform>::ForwardCrashNews() {
+  CrashNews news = this->coordinator.crash_guard().TakeNews(BootClock::now());
+  if (news.empty()) {
+    return;
+  }
+  for (const CallRefusal& refusal : news.refusals) {
+    this->log.Write("call_refusal", {{"fingerprint", absl::StrCat(absl::Hex(refusal.fingerprint))},
+                                     {"service", absl::StrCat(absl::Hex(refusal.service))},
+                                     {"left_ms", FormatMilliseconds(refusal.time_left)}});
+  }
+  this->SendLeafReports({.refusals = std::move(news.refusals), .crashes = std::move(news.crashes)},
+                        this->PickRandomPeers(this->options.crash_news_targets));
 }
 
 // Sends reports about leaves right away, outside the regular gossip. Entries that don't fit into
@@ -124,7 +161,8 @@
     items.resize(std::min(items.size(), max_size));
   };
   limit_size(message.leaving_leaves, this->options.max_leaving_leaves);
-  limit_size(message.crashes, this->options.max_crashes);
+  KeepRandom(message.crashes, this->options.max_crashes, this->random);
+  KeepRandom(message.refusals, this->options.max_refusals, this->random);
   limit_size(message.silent_leaves, message.crashes.empty() && message.leaving_leaves.empty()
                                         ? this->options.max_silent_leaves
                                         : this->options.max_silent_leaves / 2);
@@ -136,14 +174,16 @@
 template <PlatformTranslation Platform>
 void Node<Platform>::SendGossipTo(const std::vector<PeerAddress>& targets, TimePoint now) {
   GossipMessage message = {.sender = this->peer_table.self(),
-                           .peers = this->peer_table.SampleReports(now),
-                           .refusals = this->coordinator.crash_guard().ListRefusals(now)};
+                           .peers = this->peer_table.SampleReports(now)};
   message.documents_as_of = this->mirror.as_of();
-  message.refusals.resize(std::min(message.refusals.size(), this->options.max_refusals));
   this->SendMessage(message, targets);
   std::vector<LeavingLeaf> leaving = this->coordinator.notices().ListLeavingLeaves(now);
-  if (!leaving.empty()) {
-    this->SendLeafReports({.leaving_leaves = std::move(leaving)}, targets);
+  CrashNews news = this->coordinator.crash_guard().ListNews(now);
+  if (!leaving.empty() || !news.empty()) {
+    this->SendLeafReports({.refusals = std::move(news.refusals),
+                           .leaving_leaves = std::move(leaving),
+                           .crashes = std::move(news.crashes)},
+                          targets);
   }
 }
 
--- a/src/node/node_lifecycle.h
+++ b/src/node/node_lifecycle.h
@@ -284,6 +284,7 @@
     this->AdvanceStop();
   }
   this->AnswerDocumentRequests(false);
+  this->ForwardCrashNews();
   if (this->feed.ShouldAbandonCall(this->mirror.as_of(), now)) {
     this->FailFeedRequest("another VM knows newer documents");
   }
--- a/tests/dispatch/crash_guard_test.cc
+++ b/tests/dispatch/crash_guard_test.cc
@@ -155,10 +155,10 @@
   TimePoint now = TimePoint() + std::chrono::hours(1);
   first_guard.MergeRefusal({.fingerprint = 1, .time_left = std::chrono::seconds(10)}, now);
   for (int i = 0; i < 30; ++i) {
-    for (const CallRefusal& refusal : first_guard.ListRefusals(now)) {
+    for (const CallRefusal& refusal : first_guard.ListNews(now).refusals) {
       second_guard.MergeRefusal(refusal, now);
     }
-    for (const CallRefusal& refusal : second_guard.ListRefusals(now)) {
+    for (const CallRefusal& refusal : second_guard.ListNews(now).refusals) {
       first_guard.MergeRefusal(refusal, now);
     }
     now += std::chrono::seconds(1);
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -13,10 +13,14 @@
                  .fan_out_rate = 2,
                  .stopping = true},
       .peers = {{.peer = {.address = {.ip = 1, .port = 2}}, .age = std::chrono::milliseconds(30)}},
-      .refusals = {{.fingerprint = 5, .time_left = std::chrono::milliseconds(600)}},
+      .refusals = {{.fingerprint = 5, .service = 6, .time_left = std::chrono::milliseconds(600)}},
       .silent_leaves = {{.leaf = LeafId("i-1"), .request_age = std::chrono::milliseconds(31)}},
       .leaving_leaves = {{.leaf = LeafId("i-2"), .started = 77}},
-      .crashes = {{.fingerprint = 1, .request = 2, .service = 3, .leaf = 4}}};
+      .crashes = {{.fingerprint = 1,
+                   .request = 2,
+                   .service = 3,
+                   .leaf = 4,
+                   .age = std::chrono::milliseconds(50)}}};
   const std::string bytes = EncodeGossip(gossip);
   SUBCASE("a decoded gossip message equals the encoded one") {
     const auto read = DecodeGossip(bytes);
@@ -31,6 +35,7 @@
     CHECK(read->silent_leaves[0].request_age == std::chrono::milliseconds(31));
     REQUIRE(read->refusals.size() == 1);
     CHECK(read->refusals[0].fingerprint == 5);
+    CHECK(read->refusals[0].service == 6);
     CHECK(read->refusals[0].time_left == std::chrono::milliseconds(600));
     REQUIRE(read->leaving_leaves.size() == 1);
     CHECK(read->leaving_leaves[0].leaf == LeafId("i-2"));
@@ -38,6 +43,7 @@
     REQUIRE(read->crashes.size() == 1);
     CHECK(read->crashes[0].request == 2);
     CHECK(read->crashes[0].leaf == 4);
+    CHECK(read->crashes[0].age == std::chrono::milliseconds(50));
   }
   SUBCASE("a full sample of peers fits into one unfragmented datagram") {
     gossip.peers.assign(PeerTableOptions{}.reports_per_message, gossip.peers[0]);
@@ -58,6 +64,14 @@
     gossip.crashes.assign(12, gossip.crashes[0]);
     CHECK(EncodeGossip(gossip).size() <= 1472);
   }
+  SUBCASE("news of calls that crash leaves fits into one unfragmented datagram") {
+    gossip.peers.clear();
+    gossip.silent_leaves.clear();
+    gossip.refusals.assign(8, gossip.refusals[0]);
+    gossip.leaving_leaves.assign(8, {.leaf = LeafId("i-0123456789abcdef")});
+    gossip.crashes.assign(12, gossip.crashes[0]);
+    CHECK(EncodeGossip(gossip).size() <= 1472);
+  }
   SUBCASE("a document update preserves arbitrary bytes") {
     const DocumentUpdate update = {
         .as_of = 4,
