--- a/tests/edge/client_connection_test.cc
+++ b/tests/edge/client_connection_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "edge/scripted_server.h"
+#include "ibishold/edge.h"
 
 namespace ibishold {
 
@@ -143,6 +144,54 @@
   }
 }
 
+// Guards against a reply that is cut in its head and delivered as a success with an empty or short
+// body.
+TEST_CASE("a reply that is cut at any byte and closed is not delivered") {
+  const std::vector<std::string> replies = {
+      Response("1", "hello"),
+      "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: 1\r\n\r\nhello, world",
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + Response("1", "hello"),
+  };
+  for (const std::string& reply : replies) {
+    for (std::size_t length = 0; length < reply.size(); ++length) {
+      CAPTURE(reply);
+      CAPTURE(length);
+      boost::asio::io_context context;
+      ScriptedServer server(context);
+      server.scripts = {{.bytes = reply.substr(0, length), .close = true}};
+      Client client(server.endpoint(), context);
+      while (!client.opened) {
+        context.run_one();
+      }
+      client.connection->Send({.method = "GET", .target = "/x", .host = "h"});
+      while (!client.ended && client.replies.empty()) {
+        context.run_one();
+      }
+      CHECK(client.replies.empty());
+      CHECK(client.ended != ConnectionEnd::kNotConnected);
+    }
+  }
+  SUBCASE("also if it has no length, as long as its head is not complete") {
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nX-Load: 1,0,2\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      CAPTURE(length);
+      boost::asio::io_context context;
+      ScriptedServer server(context);
+      server.scripts = {{.bytes = head.substr(0, length), .close = true}};
+      Client client(server.endpoint(), context);
+      while (!client.opened) {
+        context.run_one();
+      }
+      client.connection->Send({.method = "GET", .target = "/x", .host = "h"});
+      while (!client.ended && client.replies.empty()) {
+        context.run_one();
+      }
+      CHECK(client.replies.empty());
+    }
+  }
+}
+
 TEST_CASE("connecting to an unresponsive server fails after the connect limit") {
   // Guards against waiting for the kernel's SYN retransmissions (after 1 s, 2 s, 4 s, ...): when a
   // network outage to the platform's store ended, a VM reconnected 6 s late. The test fills the
--- a/tests/edge/endless_input_test.cc
+++ b/tests/edge/endless_input_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "edge/scripted_server.h"
+#include "ibishold/edge.h"
 
 namespace ibishold {
 
--- a/tests/edge/scripted_server.h
+++ b/tests/edge/scripted_server.h
@@ -1,16 +1,16 @@
 #ifndef TESTS_EDGE_SCRIPTED_SERVER_H_
 #define TESTS_EDGE_SCRIPTED_SERVER_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
 #include <list>
+#include <memory>
 #include <string>
 
-#include "ibishold/edge.h"
-
 namespace ibishold {
 
 // What the server does with one request.
