--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -71,6 +71,14 @@
   return report;
 }
 
+// These keep zero bytes, at which a C string would end.
+capnp::Text::Reader ToText(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+std::string ToString(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
 std::string SerializeMessage(capnp::MessageBuilder& message) {
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -124,12 +132,12 @@
   root.setDocumentsAsOf(message.documents_as_of);
   auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
   for (unsigned i = 0; i < message.silent_leaves.size(); ++i) {
-    silent[i].setLeaf(message.silent_leaves[i].leaf.value);
+    silent[i].setLeaf(ToText(message.silent_leaves[i].leaf.value));
     silent[i].setWaitedMs(Milliseconds(message.silent_leaves[i].request_age));
   }
   auto leaving = root.initLeavingLeaves(static_cast<unsigned>(message.leaving_leaves.size()));
   for (unsigned i = 0; i < message.leaving_leaves.size(); ++i) {
-    leaving[i].setLeaf(message.leaving_leaves[i].leaf.value);
+    leaving[i].setLeaf(ToText(message.leaving_leaves[i].leaf.value));
     leaving[i].setStarted(message.leaving_leaves[i].started);
   }
   auto names = root.initDataCentres(static_cast<unsigned>(centres.all().size()));
@@ -149,12 +157,12 @@
     }
     for (const auto silent : root.getSilentLeaves()) {
       message.silent_leaves.push_back(
-          {.leaf = LeafId(silent.getLeaf().cStr()),
+          {.leaf = LeafId(ToString(silent.getLeaf())),
            .request_age = std::chrono::milliseconds(silent.getWaitedMs())});
     }
     for (const auto leaving : root.getLeavingLeaves()) {
       message.leaving_leaves.push_back(
-          {.leaf = LeafId(leaving.getLeaf().cStr()), .started = leaving.getStarted()});
+          {.leaf = LeafId(ToString(leaving.getLeaf())), .started = leaving.getStarted()});
     }
     for (const auto refusal : root.getRefusals()) {
       message.refusals.push_back({.fingerprint = refusal.getFingerprint(),
@@ -181,7 +189,7 @@
   auto changes = root.initChanges(static_cast<unsigned>(update.changes.size()));
   for (unsigned i = 0; i < update.changes.size(); ++i) {
     const DocumentChange& change = update.changes[i];
-    changes[i].setKey(change.key);
+    changes[i].setKey(ToText(change.key));
     changes[i].setValue(kj::ArrayPtr<const kj::byte>(
         reinterpret_cast<const kj::byte*>(change.value.data()), change.value.size()));
     changes[i].setRevision(change.revision);
@@ -200,7 +208,7 @@
         for (const auto change : root.getChanges()) {
           const auto value = change.getValue();
           update.changes.push_back(
-              {.key = change.getKey().cStr(),
+              {.key = ToString(change.getKey()),
                .value = std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
                .revision = change.getRevision(),
                .removed = change.getRemoved()});
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -81,6 +81,15 @@
     REQUIRE(read.has_value());
     CHECK(read->changes[0].value == update.changes[0].value);
   }
+  SUBCASE("a key with a zero byte is not taken for the key before that byte") {
+    // Guards against an odd entry that replaces the entry of a leaf at the VMs that hear of it from
+    // their peers.
+    const std::string key("servers/i-1\0x", 13);
+    const auto read = DecodeDocumentUpdate(
+        EncodeDocumentUpdate({.as_of = 4, .changes = {{.key = key, .revision = 4}}}));
+    REQUIRE(read.has_value());
+    CHECK(read->changes[0].key == key);
+  }
   SUBCASE("damaged bytes are rejected or decoded without any other effect") {
     Random random(3);
     for (int i = 0; i < 3000; ++i) {
--- a/tests/native/documents_test.cc
+++ b/tests/native/documents_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "absl/strings/str_cat.h"
 #include "platform/native.h"
 
 namespace ibishold::native {
@@ -85,6 +86,64 @@
   }
 }
 
+// Guards against an entry of another writer that ends the process, stops it from following the
+// store, or is used with a wrapped number.
+TEST_CASE("an odd entry among those of the leaves names no leaf") {
+  const auto replaced = [](const std::string& from, const std::string& to) {
+    std::string text = kLeaf;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const auto is_refused = [](const std::string& text, const std::string& id = "i") {
+    return !DecodeLeaf(LeafId(id), text, 1).ok();
+  };
+  SUBCASE("nested deeply") {
+    for (const std::size_t depth : {31U, 33U, 1000U, 500000U}) {
+      CAPTURE(depth);
+      CHECK(is_refused(std::string(depth, '[') + std::string(depth, ']')));
+      const std::string nested =
+          replaced(R"("v1")", std::string(depth, '[') + std::string(depth, ']'));
+      (void)DecodeLeaf(LeafId("i"), nested, 1).ok();
+      std::string objects;
+      for (std::size_t i = 0; i < depth; ++i) {
+        objects += R"({"service":)";
+      }
+      CHECK(is_refused(objects));
+      CHECK(is_refused(objects + "1" + std::string(depth, '}')));
+    }
+  }
+  SUBCASE("with a number that is too large, negative or not whole") {
+    for (const std::string number :
+         {"-1", "-2147483649", "65536", "4294967296", "18446744073709551615",
+          "18446744073709551616", "1e300", "-1e300", "1e999", "1e99999999999", "0.5"}) {
+      CAPTURE(number);
+      CHECK(is_refused(replaced(R"("slots":2)", absl::StrCat(R"("slots":)", number))));
+    }
+    for (const std::string number :
+         {"-1", "9223372036854775807", "18446744073709551616", "1e300", "-1e300", "1e999"}) {
+      CAPTURE(number);
+      CHECK(is_refused(
+          replaced(R"("warmupLeftMs":1500)", absl::StrCat(R"("warmupLeftMs":)", number))));
+      CHECK(is_refused(replaced(R"("born":1773200796040)", absl::StrCat(R"("born":)", number))));
+    }
+  }
+  SUBCASE("with an address that cannot be used") {
+    for (const std::string address :
+         {"10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:-1", "10.128.0.9:8080x",
+          "10.128.0.9:99999999999999999999", "10.128.0.9:", ":8080", "host:8080", "10.128.0:8080",
+          "10.128.0.256:8080", "[::1]:8080", "0.0.0.0:8080", ""}) {
+      CAPTURE(address);
+      CHECK(is_refused(replaced("10.128.0.9:8080", address)));
+    }
+  }
+  SUBCASE("with an id that cannot stand in a header") {
+    for (const std::string& id : {std::string(), std::string("i-1\r\nX: y"), std::string("i 1"),
+                                  std::string("i-1\0", 4), std::string("i-\xc3\xa9")}) {
+      CAPTURE(id);
+      CHECK(is_refused(kLeaf, id));
+    }
+  }
+}
+
 TEST_CASE("randomly damaged documents are read or refused without a crash") {
   Random random(21);
   std::vector<std::string> skipped;
--- a/tests/native/store_calls_test.cc
+++ b/tests/native/store_calls_test.cc
@@ -25,6 +25,26 @@
     REQUIRE(result.page.documents.size() == 2);
     CHECK(result.page.documents[1].removed);
   }
+  SUBCASE("an odd item does not hide the others of its page") {
+    // Guards against VMs that stop following the store because of one entry of another writer.
+    const std::string nested = std::string(200, '[') + std::string(200, ']');
+    for (const std::string& odd : std::initializer_list<std::string>{
+             R"({"key":"servers/)" + std::string("\xff\xfe") + R"(","value":"","revision":412})",
+             R"({"key":"servers/x","value":")" + std::string("\xc3") + R"(","revision":412})",
+             R"({"key":"servers/x","extra":)" + nested + R"(,"revision":412})",
+             R"({"key":"servers/x","revision":1e300})", R"({"key":"servers/x","lease":1e999})",
+             R"({"key":"servers/x","lease":184467440737095516160000})",
+             std::string(R"({"key":"servers/i-1\u0000","value":"bm9kZS0x","revision":412})")}) {
+      CAPTURE(odd);
+      const StoreResult result =
+          DecodeWatch({.status = 200,
+                       .body = R"({"events":[)" + odd +
+                               R"(,{"key":"a","value":"bm9kZS0x","revision":413}],"asOf":413})"});
+      REQUIRE(result.outcome == FeedOutcome::kApplied);
+      REQUIRE_FALSE(result.page.documents.empty());
+      CHECK(result.page.documents.back().key == "a");
+    }
+  }
   SUBCASE("status 410 means that the store no longer has the history") {
     CHECK(DecodeWatch({.status = 410}).outcome == FeedOutcome::kHistoryGone);
   }
