Refuse requests whose deadline is later than the end of a front's stop

Change: from the beginning of the stop on, FrontCore refuses requests whose deadline is later than the end of the stop as not run, with a time to come back. Test: front_process_test, "a request that comes shortly before the limit of a planned stop is refused"; before the change the late caller got no answer.

--- a/include/ibishold/front.h
+++ b/include/ibishold/front.h
@@ -205,6 +205,9 @@
 
   void SetView(ControlViewPtr view, TimePoint now);
   void OnRequest(CallerRequest request, TimePoint now);
+  // Begins a planned stop. A request whose deadline is later than `end` is refused as not run from
+  // now on, because the process may end before its answer.
+  void BeginStop(TimePoint end);
   void OnRequestAbandoned(std::uint64_t ticket, TimePoint now);  // the caller disconnected
   void OnLeafReply(const VmId& broker, const LeafReply& reply, TimePoint now);
   void OnCancelResult(std::uint64_t attempt_id, Verdict verdict, TimePoint now);
@@ -241,6 +244,7 @@
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<QueryEngine> query_engine;
   std::unique_ptr<ExecuteEngine> execute_engine;
+  TimePoint stop_ends_at = TimePoint::max();  // of a planned stop
 };
 
 }  // namespace ibishold
--- a/src/front/front_core.cc
+++ b/src/front/front_core.cc
@@ -4,12 +4,20 @@
 #include "front/dispatcher.h"
 #include "front/execute_engine.h"
 #include "front/query_engine.h"
+#include "front/request_checks.h"
 #include "ibishold/front.h"
 
 namespace ibishold {
 
 namespace json = boost::json;
 
+namespace {
+
+// Another front serves the request at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+
+}  // namespace
+
 FrontCore::FrontCore(FrontOptions front_options)
     : options(std::move(front_options)),
       dispatcher(std::make_unique<Dispatcher>(this->options)),
@@ -24,6 +32,14 @@
 
 void FrontCore::OnRequest(CallerRequest request, TimePoint now) {
   ++this->dispatcher->counters.requests;
+  if (request.deadline > this->stop_ends_at) {
+    SendRefusal(*this->dispatcher, request,
+                {.status = 503,
+                 .error = "stopping",
+                 .message = "this front is about to stop",
+                 .retry_after = kStoppingRetryAfter});
+    return;
+  }
   if (request.kind == RequestKind::kExecute) {
     this->execute_engine->Start(std::move(request), now);
     return;
@@ -31,6 +47,10 @@
   this->query_engine->Start(std::move(request), now);
 }
 
+void FrontCore::BeginStop(TimePoint end) {
+  this->stop_ends_at = end;
+}
+
 void FrontCore::OnRequestAbandoned(std::uint64_t ticket, TimePoint now) {
   this->query_engine->Abandon(ticket, now);
   this->execute_engine->Abandon(ticket, now);
--- a/src/front/front_process.cc
+++ b/src/front/front_process.cc
@@ -19,6 +19,9 @@
 // kept-alive connections during the stop are still answered.
 constexpr Duration kIdleTimeBeforeClose = std::chrono::milliseconds(200);
 
+// Answers are given this long before the limit of a planned stop, so that they can be written.
+constexpr Duration kFinalAnswerTime = std::chrono::milliseconds(100);
+
 // Event that the caller thread passes to the request thread.
 struct CallerEvent {
   std::shared_ptr<CallerRequest> request;  // null: the request `abandoned_ticket` was abandoned
@@ -88,6 +91,10 @@
       this->stop_started_at = BootClock::now();
       this->idle_since = this->stop_started_at;
       this->caller_server.AnnounceClose();
+      const TimePoint last_answer_at =
+          this->stop_started_at + this->options.stop_limit - kFinalAnswerTime;
+      asio::post(this->request_context,
+                 [this, last_answer_at] { this->request_worker.BeginStop(last_answer_at); });
       this->PollStop();
     });
   }
--- a/src/front/request_worker.cc
+++ b/src/front/request_worker.cc
@@ -45,6 +45,10 @@
   this->RunActions();
 }
 
+void RequestWorker::BeginStop(TimePoint end) {
+  this->core.BeginStop(end);
+}
+
 void RequestWorker::AbandonRequest(std::uint64_t ticket) {
   this->core.OnRequestAbandoned(ticket, BootClock::now());
   this->RunActions();
--- a/src/front/request_worker.h
+++ b/src/front/request_worker.h
@@ -33,6 +33,7 @@
   absl::Status Listen() { return this->front_links.Listen(); }  // call before the thread starts
   void Start();
   void HandleRequest(CallerRequest request);
+  void BeginStop(TimePoint end);
   void AbandonRequest(std::uint64_t ticket);
   void BeginHandOver() { this->front_links.BeginHandOver(); }
   bool hand_over_done() const { return this->front_links.hand_over_done(); }  // thread-safe
--- a/tests/front/front_process_test.cc
+++ b/tests/front/front_process_test.cc
@@ -113,4 +113,47 @@
   }
 }
 
+// Guards against requests that are taken late in a planned stop, passed on, and cut without an
+// answer when the stop reaches its limit.
+TEST_CASE("a request that comes shortly before the limit of a planned stop is refused") {
+  const ControlView view = testing::MakeSendableView({});
+  testing::ScriptedBroker first_broker(VmId("vm-0"), view);
+  testing::ScriptedBroker second_broker(VmId("vm-1"), view);
+  REQUIRE(first_broker.Start("127.10.1.1", 18090).ok());
+  REQUIRE(second_broker.Start("127.10.1.2", 18090).ok());
+  Metrics metrics;
+  FrontProcessOptions options = MakeOptions();
+  options.stop_limit = std::chrono::milliseconds(1200);
+  FrontProcess front(options, metrics);
+  REQUIRE(front.Start().ok());
+  REQUIRE(WaitFor([&] { return front.ready(); }));
+
+  // A first request, which the leaves hold up, keeps the stop going.
+  first_broker.answer_delay_ms = 1000;
+  second_broker.answer_delay_ms = 1000;
+  BlockingHttpClient slow_caller("127.10.1.1", kHttpPort);
+  BlockingHttpClient late_caller("127.10.1.1", kHttpPort);
+  HttpAnswer slow_answer;
+  std::thread slow_thread([&] {
+    slow_answer = slow_caller.Post("/v1/services/stock/query", R"({"query":{"term":"a"}})",
+                                   {{"X-Deadline-Ms", "1100"}});
+  });
+  const auto count_leaf_requests = [&] {
+    return first_broker.leaf_request_count + second_broker.leaf_request_count;
+  };
+  REQUIRE(WaitFor([&] { return count_leaf_requests() >= 4; }));
+  front.BeginStop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  const int requests_before = count_leaf_requests();
+  const HttpAnswer late_answer = late_caller.Post(
+      "/v1/services/stock/query", R"({"query":{"term":"b"}})", {{"X-Deadline-Ms", "1000"}});
+  REQUIRE(late_answer.status == 503);
+  CHECK(json::parse(late_answer.body).at("verdict").as_string() == "not_run");
+  CHECK(late_answer.headers.contains("Retry-After"));
+  CHECK(count_leaf_requests() == requests_before);
+  slow_thread.join();
+  CHECK(slow_answer.status != 0);
+  CHECK(WaitFor([&] { return front.stopped().load(); }));
+}
+
 }  // namespace ibishold
