Name what the stop and the feed compare; one loop for the replies that are cut

Renamed: HasTimeFor to HasTimeBeforeStop, store_confirmed to last_store_call_served. The check of replies without a length uses the loop of the others, with the same cuts. No change of behaviour. Tests of the four files passed.

--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -118,7 +118,7 @@
   // no more time than that, and are refused as not run if they cannot be expected to end by then.
   void BeginStop(TimePoint end);
   // False if a call on this route would be refused because of a planned stop.
-  bool HasTimeFor(const Route& route, TimePoint now);
+  bool HasTimeBeforeStop(const Route& route, TimePoint now);
   // The end of the planned stop; TimePoint::max() if none has begun.
   TimePoint stop_end() const { return this->stop_ends_at; }
   // Answers all calls before shutdown: with a partial answer if enough shards have replied, else
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -332,7 +332,7 @@
   bool call_in_progress = false;
   bool list_needed = true;
   bool store_succeeded = false;
-  bool store_confirmed = false;  // the most recent call to the store was served
+  bool last_store_call_served = false;
   bool newest_call_in_touch = false;
   bool last_was_peer = false;
   int failures = 0;  // consecutive, of the store
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -91,7 +91,7 @@
     return true;
   }
   const Route& route = *progress.route;
-  if (!this->HasTimeFor(route, now)) {
+  if (!this->HasTimeBeforeStop(route, now)) {
     this->Finish(
         id, progress,
         this->BuildRefusal(progress, AnswerReason::kStopping, this->options.retry_after_stopping),
@@ -135,7 +135,7 @@
   return true;
 }
 
-bool Coordinator::HasTimeFor(const Route& route, TimePoint now) {
+bool Coordinator::HasTimeBeforeStop(const Route& route, TimePoint now) {
   if (this->stop_ends_at == TimePoint::max()) {
     return true;
   }
--- a/src/fleet/document_feed.cc
+++ b/src/fleet/document_feed.cc
@@ -50,7 +50,7 @@
                 as_of == 0 ? this->options.initial_store_timeout : this->options.store_timeout};
   }
   const Duration wait =
-      this->store_confirmed ? this->options.watch_wait : this->options.recheck_wait;
+      this->last_store_call_served ? this->options.watch_wait : this->options.recheck_wait;
   return {.step = FeedStep::kWatch,
           .at = now,
           .after = as_of,
@@ -138,14 +138,15 @@
     return;
   }
   this->newest_call_in_touch = served;
-  const bool was_confirmed = std::exchange(this->store_confirmed, served);
+  const bool previous_call_served = std::exchange(this->last_store_call_served, served);
   if (served) {
     this->list_needed = outcome == FeedOutcome::kHistoryGone;
     this->failures = 0;
     this->store_succeeded = true;
     return;
   }
-  if (was_confirmed && outcome == FeedOutcome::kFailed && this->current.step == FeedStep::kWatch) {
+  if (previous_call_served && outcome == FeedOutcome::kFailed &&
+      this->current.step == FeedStep::kWatch) {
     // The watch may have been lost at any time of its wait, so this failure does not show whether
     // the store answers now. The next watch does, and it is not delayed.
     return;
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -42,7 +42,7 @@
     call.external_latency += this->caller_path.EstimateTransferTime(*route);
   }
   const TimePoint now = BootClock::now();
-  if (route == nullptr || !route->fan_out() || !this->coordinator.HasTimeFor(*route, now)) {
+  if (route == nullptr || !route->fan_out() || !this->coordinator.HasTimeBeforeStop(*route, now)) {
     this->RunCall(this->callers, ticket, std::move(request), std::move(call));
     return;
   }
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -251,7 +251,7 @@
     return;
   }
   const Route* route = routes->Find(request.host, request.path());
-  if (route != nullptr && !this->coordinator.HasTimeFor(*route, BootClock::now())) {
+  if (route != nullptr && !this->coordinator.HasTimeBeforeStop(*route, BootClock::now())) {
     this->peer_port.Reply(ticket, {.status = 503, .headers = {{kDeclinedHeader, "1"}}});
     return;
   }
--- a/tests/edge/client_connection_test.cc
+++ b/tests/edge/client_connection_test.cc
@@ -152,6 +152,8 @@
       "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: 1\r\n\r\nhello, world",
       "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
       "HTTP/1.1 100 Continue\r\n\r\n" + Response("1", "hello"),
+      // Without a length, only the head counts: a body may end with the connection.
+      "HTTP/1.1 200 OK\r\nId: 1\r\nX-Load: 1,0,2\r\n\r\n",
   };
   for (const std::string& reply : replies) {
     for (std::size_t length = 0; length < reply.size(); ++length) {
@@ -172,24 +174,6 @@
       CHECK(client.ended != ConnectionEnd::kNotConnected);
     }
   }
-  SUBCASE("also if it has no length, as long as its head is not complete") {
-    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nX-Load: 1,0,2\r\n\r\n";
-    for (std::size_t length = 0; length < head.size(); ++length) {
-      CAPTURE(length);
-      boost::asio::io_context context;
-      ScriptedServer server(context);
-      server.scripts = {{.bytes = head.substr(0, length), .close = true}};
-      Client client(server.endpoint(), context);
-      while (!client.opened) {
-        context.run_one();
-      }
-      client.connection->Send({.method = "GET", .target = "/x", .host = "h"});
-      while (!client.ended && client.replies.empty()) {
-        context.run_one();
-      }
-      CHECK(client.replies.empty());
-    }
-  }
 }
 
 TEST_CASE("connecting to an unresponsive server fails after the connect limit") {
