--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -78,6 +78,7 @@
 
 struct CallSummary {
   std::string request_id;
+  std::uint64_t fingerprint = 0;  // Call::fingerprint
   std::string route;
   std::uint64_t route_table_version = 0;
   AnswerKind kind = AnswerKind::kRefused;
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -353,6 +353,8 @@
   // Records that a leaf of the service answered the call.
   void RecordSuccess(std::uint64_t fingerprint, std::uint64_t service_hash, TimePoint now);
 
+  // Returns the number of crashed leaves that this VM knows of, for the log.
+  std::size_t CountCrashes(std::uint64_t fingerprint) const;
   bool HasActiveRefusal(std::uint64_t fingerprint, TimePoint now) const;
   // Return the time for which the call, or its part for one service, is still refused; zero if it
   // is not refused.
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -96,6 +96,7 @@
                          TimePoint now,
                          Actions& actions) {
   CallSummary summary = {.request_id = progress.call.request_id,
+                         .fingerprint = progress.call.fingerprint,
                          .kind = answer.kind,
                          .reason = answer.reason,
                          .duration = now - progress.arrived_at,
--- a/src/leaf_policy/crash_guard.cc
+++ b/src/leaf_policy/crash_guard.cc
@@ -149,6 +149,17 @@
   return success.key == key && now - success.at <= this->options.crash_retention;
 }
 
+std::size_t CrashGuard::CountCrashes(std::uint64_t fingerprint) const {
+  const auto found = this->entries.find(fingerprint);
+  std::size_t count = 0;
+  if (found != this->entries.end()) {
+    for (const ServiceCrashes& service : found->second.services) {
+      count += service.leaf_hashes.size();
+    }
+  }
+  return count;
+}
+
 bool CrashGuard::HasActiveRefusal(std::uint64_t fingerprint, TimePoint now) const {
   return this->GetRefusalTimeLeft(fingerprint, now) > Duration::zero();
 }
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -210,6 +210,7 @@
     }
     std::vector<LogField> fields = {
         {"request", call.request_id},
+        {"fingerprint", absl::StrCat(absl::Hex(call.fingerprint))},
         {"route", call.route},
         {"routes_version", std::to_string(call.route_table_version)},
         {"documents_as_of", std::to_string(this->mirror.as_of())},
--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -126,6 +126,13 @@
     this->log.Write("leaf_silent", {{"leaf", silent_leaf.leaf.value},
                                     {"waited_ms", FormatMilliseconds(silent_leaf.request_age)}});
   }
+  for (const LeafCrash& crash : message.crashes) {
+    this->log.Write("leaf_crash",
+                    {{"fingerprint", absl::StrCat(absl::Hex(crash.fingerprint))},
+                     {"service", absl::StrCat(absl::Hex(crash.service))},
+                     {"known_crashes", std::to_string(this->coordinator.crash_guard().CountCrashes(
+                                           crash.fingerprint))}});
+  }
   std::vector<LeafCrash> crashes = message.crashes;
   this->SendLeafReports(std::move(message), this->PickLeafReportTargets());
   if (!crashes.empty() && !this->plan.direct) {
