Count the crashes of a call of one leaf over all services

What callers and leaves saw: a call that crashes each leaf that runs it was refused after three crashes at one service.

Cause: CrashGuard counted crashes for each call and service. That is right for the shards of a fan-out call, but the services of a call of one leaf are alternatives, and the operator changes them.

Change: a crash states whether the leaf ran the whole call. Crashes under whole calls add up over all services; at three the call is refused everywhere, and retries within a request obey that refusal. Successes of whole calls offset crashes at any service, and keep a VM from adopting a peer's refusal, so that a call that crashes the leaves of one of two services runs at the other.

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -62,13 +62,20 @@
   std::uint64_t started = 0;  // LeafEntry::started of the run that is leaving
 };
 
+// What a leaf runs of a call.
+enum class CallPart : std::uint8_t {
+  kShard,  // one of several shards of a fan-out call
+  kWhole,  // a call of one leaf; the services of its route are alternatives
+};
+
 // A leaf whose connection broke while it ran a call. The hash values are the same on every VM.
 struct LeafCrash {
   std::uint64_t fingerprint = 0;  // Call::fingerprint
-  std::uint64_t request = 0;      // hash of Call::request_id
-  std::uint64_t service = 0;      // hash of the service name
-  std::uint64_t leaf = 0;         // hash of the leaf's id and the start time of its run
-  Duration age{};                 // time since the crash, or since a later crash by the same call
+  CallPart part = CallPart::kShard;
+  std::uint64_t request = 0;  // hash of Call::request_id
+  std::uint64_t service = 0;  // hash of the service name
+  std::uint64_t leaf = 0;     // hash of the leaf's id and the start time of its run
+  Duration age{};             // time since the crash, or since a later crash by the same call
 };
 
 // Calls with this fingerprint are refused, because they crash leaves.
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -299,12 +299,14 @@
 // ---- 5. CrashGuard ------------------------------------------------------------------------------
 
 struct CrashGuardOptions {
-  // Number of crashed leaves of one service that blocks a call there, and number of services with
-  // crashed leaves at which the call is refused.
+  // Number of crashed leaves of one service that blocks a call there. Number of crashed leaves of
+  // all services together at which a call of one leaf is refused, and number of services with
+  // crashed leaves at which a fan-out call is refused.
   std::size_t crash_limit = 3;
   double success_weight = 0.5;  // number of crashes that one success offsets
-  // Number of crashed leaves of one service from which this VM passes on what peers reported. A
-  // single crash is too common to be passed through a whole fleet.
+  // Number of crashed leaves of one service, or of all services for a call of one leaf, from which
+  // this VM passes on what peers reported. A single crash is too common to be passed through a
+  // whole fleet.
   std::size_t suspicion_limit = 2;
   // Time for which crashes that led to no refusal count, and for which a success here outweighs
   // the reports of peers.
@@ -334,6 +336,8 @@
 //   - If `crash_limit` leaves of a service crashed in two or more requests, the call is no longer
 //     sent to that service. Other shards of a call that fans out still receive it.
 //   - If leaves of `crash_limit` services crashed in two or more requests, the call is refused.
+//   - A call of one leaf is refused after `crash_limit` crashes in two or more requests, whatever
+//     the services: the operator may move its route, or split it over several services.
 // A call that is in flight when leaves crash for another reason is not blocked, because such a
 // crash affects only one of its requests and successes offset crashes.
 //
@@ -350,14 +354,17 @@
   // Records a crash reported by a peer. Returns false if the report contains nothing new, or if a
   // leaf of the service has recently answered the call here, so that it does not crash each leaf.
   bool RecordPeerCrash(const LeafCrash& crash, TimePoint now);
-  // Records that a leaf of the service answered the call.
-  void RecordSuccess(std::uint64_t fingerprint, std::uint64_t service_hash, TimePoint now);
+  // Records that a leaf of the service answered its part of the call.
+  void RecordSuccess(std::uint64_t fingerprint,
+                     std::uint64_t service_hash,
+                     CallPart part,
+                     TimePoint now);
 
   // Returns the number of crashed leaves that this VM knows of, for the log.
   std::size_t CountCrashes(std::uint64_t fingerprint) const;
   bool HasActiveRefusal(std::uint64_t fingerprint, TimePoint now) const;
-  // Return the time for which the call, or its part for one service, is still refused; zero if it
-  // is not refused.
+  // Return the time for which the call is still refused, as a whole or at least for one service;
+  // zero if it is not refused.
   Duration GetRefusalTimeLeft(std::uint64_t fingerprint, TimePoint now) const;
   Duration GetBlockTimeLeft(std::uint64_t fingerprint,
                             std::uint64_t service_hash,
@@ -376,6 +383,7 @@
  private:
   struct ServiceCrashes {
     std::uint64_t service_hash = 0;
+    CallPart part = CallPart::kShard;
     double score = 0;                        // crashes minus weighted successes, at least 0
     std::vector<std::uint64_t> leaf_hashes;  // runs of leaves that crashed
     TimePoint blocked_until{};
@@ -383,6 +391,8 @@
   struct Entry {
     std::vector<ServiceCrashes> services;
     std::vector<std::uint64_t> request_hashes;  // at most two, the number that the rules need
+    // Crashes minus weighted successes over all services that ran the whole call, at least 0.
+    double whole_call_score = 0;
     TimePoint refused_until{};
     TimePoint last_crash_at{};
     TimePoint last_used_at{};
@@ -399,7 +409,7 @@
   // Returns false if the crash is already counted or a limit is reached.
   bool AddCrashedLeaf(Entry& entry, const LeafCrash& crash) const;
   void ApplyLimits(Entry& entry, TimePoint now) const;
-  bool IsSuspect(const ServiceCrashes& service) const;
+  bool IsSuspect(const Entry& entry, const ServiceCrashes& service) const;
   // Appends what peers need to know about the call.
   void AppendNews(std::uint64_t fingerprint,
                   const Entry& entry,
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -267,6 +267,7 @@
   service @2 :UInt64;
   leaf @3 :UInt64;                      # of one run of the leaf
   ageMs @4 :UInt32;                     # time since the crash, or since a later one of this call
+  wholeCall @5 :Bool;                   # the leaf ran the whole call, not a shard of a fan-out call
 }
 
 struct LeavingLeaf {
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -3715,6 +3715,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getWholeCall() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3758,6 +3760,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getWholeCall();
+  inline void setWholeCall(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8151,6 +8156,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeafCrash::Reader::getWholeCall() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeafCrash::Builder::getWholeCall() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+inline void LeafCrash::Builder::setWholeCall(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeavingLeaf::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -15,6 +15,10 @@
 // HTTP statuses with which servers usually reject a request without running it.
 constexpr std::array<int, 4> kNotRunStatuses = {408, 421, 429, 503};
 
+CallPart GetCallPart(const Route& route) {
+  return route.fan_out() ? CallPart::kShard : CallPart::kWhole;
+}
+
 }  // namespace
 
 void Coordinator::OnSent(AttemptId attempt, TimePoint /*now*/) {
@@ -98,7 +102,8 @@
       });
   if (reply.success() && !repeated_signature) {
     this->GetRecentLatency(route).Record(now - ended_attempt->started_at);
-    this->call_crash_guard.RecordSuccess(progress->call.fingerprint, shard->service_hash, now);
+    this->call_crash_guard.RecordSuccess(progress->call.fingerprint, shard->service_hash,
+                                         GetCallPart(route), now);
     shard->state = ShardState::kDone;
     shard->reply = std::move(reply);
     if (route.fan_out()) {
@@ -151,6 +156,7 @@
     if (failure == AttemptFailure::kBroken) {
       this->call_crash_guard.RecordCrash(
           {.fingerprint = progress->call.fingerprint,
+           .part = GetCallPart(*progress->route),
            .request = StableHash(progress->call.request_id),
            .service = shard->service_hash,
            .leaf = StableHash(ended_attempt->leaf.value, ended_attempt->leaf_started)},
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -124,6 +124,7 @@
   auto crashes = root.initCrashes(static_cast<unsigned>(message.crashes.size()));
   for (unsigned i = 0; i < message.crashes.size(); ++i) {
     crashes[i].setFingerprint(message.crashes[i].fingerprint);
+    crashes[i].setWholeCall(message.crashes[i].part == CallPart::kWhole);
     crashes[i].setRequest(message.crashes[i].request);
     crashes[i].setService(message.crashes[i].service);
     crashes[i].setLeaf(message.crashes[i].leaf);
@@ -171,6 +172,7 @@
     }
     for (const auto crash : root.getCrashes()) {
       message.crashes.push_back({.fingerprint = crash.getFingerprint(),
+                                 .part = crash.getWholeCall() ? CallPart::kWhole : CallPart::kShard,
                                  .request = crash.getRequest(),
                                  .service = crash.getService(),
                                  .leaf = crash.getLeaf(),
--- a/src/leaf_policy/crash_guard.cc
+++ b/src/leaf_policy/crash_guard.cc
@@ -13,6 +13,9 @@
   return std::find(items.begin(), items.end(), item) != items.end();
 }
 
+// Stands for every service, in refusals and in successes of calls of one leaf.
+constexpr std::uint64_t kAnyService = 0;
+
 std::uint64_t MakeSuccessKey(std::uint64_t fingerprint, std::uint64_t service_hash) {
   return fingerprint ^ std::rotl(service_hash, 1);
 }
@@ -35,6 +38,7 @@
   if (now - entry.last_crash_at > this->options.crash_retention) {
     // Blocks last longer than the crashes that led to them.
     entry.request_hashes.clear();
+    entry.whole_call_score = 0;
     std::erase_if(entry.services,
                   [now](const ServiceCrashes& service) { return service.blocked_until <= now; });
     for (ServiceCrashes& service : entry.services) {
@@ -95,7 +99,9 @@
     return false;  // each run of a leaf counts as one crash
   }
   service->leaf_hashes.push_back(crash.leaf);
+  service->part = crash.part;
   service->score += 1;
+  entry.whole_call_score += crash.part == CallPart::kWhole ? 1 : 0;
   return true;
 }
 
@@ -109,14 +115,15 @@
       service.blocked_until = now + this->options.refusal_duration;
     }
   }
-  if (static_cast<double>(entry.services.size()) >= limit) {
+  if (static_cast<double>(entry.services.size()) >= limit || entry.whole_call_score >= limit) {
     entry.refused_until = now + this->options.refusal_duration;
   }
 }
 
-bool CrashGuard::IsSuspect(const ServiceCrashes& service) const {
-  return service.leaf_hashes.size() >= this->options.suspicion_limit &&
-         service.score >= static_cast<double>(this->options.suspicion_limit);
+bool CrashGuard::IsSuspect(const Entry& entry, const ServiceCrashes& service) const {
+  const auto limit = static_cast<double>(this->options.suspicion_limit);
+  return service.part == CallPart::kWhole ? entry.whole_call_score >= limit
+                                          : service.score >= limit;
 }
 
 void CrashGuard::MarkChanged(std::uint64_t fingerprint, Entry& entry) {
@@ -127,13 +134,21 @@
 
 void CrashGuard::RecordSuccess(std::uint64_t fingerprint,
                                std::uint64_t service_hash,
+                               CallPart part,
                                TimePoint now) {
-  const std::uint64_t key = MakeSuccessKey(fingerprint, service_hash);
-  this->successes[key % this->successes.size()] = {.key = key, .at = now};
+  const auto store = [&](std::uint64_t key) {
+    this->successes[key % this->successes.size()] = {.key = key, .at = now};
+  };
+  store(MakeSuccessKey(fingerprint, service_hash));
+  if (part == CallPart::kWhole) {
+    store(MakeSuccessKey(fingerprint, kAnyService));
+  }
   const auto found = this->entries.find(fingerprint);
   if (found == this->entries.end()) {
     return;
   }
+  found->second.whole_call_score =
+      std::max(0.0, found->second.whole_call_score - this->options.success_weight);
   for (ServiceCrashes& service : found->second.services) {
     if (service.service_hash == service_hash) {
       service.score = std::max(0.0, service.score - this->options.success_weight);
@@ -178,23 +193,23 @@
   if (found == this->entries.end()) {
     return Duration::zero();
   }
+  TimePoint blocked_until = found->second.refused_until;
   for (const ServiceCrashes& service : found->second.services) {
     if (service.service_hash == service_hash) {
-      return std::max(Duration::zero(), service.blocked_until - now);
+      blocked_until = std::max(blocked_until, service.blocked_until);
     }
   }
-  return Duration::zero();
+  return std::max(Duration::zero(), blocked_until - now);
 }
 
 void CrashGuard::MergeRefusal(const CallRefusal& refusal, TimePoint now) {
   if (refusal.time_left < this->options.min_adopted_time_left ||
-      (refusal.service != 0 &&
-       this->WasAnsweredRecently(refusal.fingerprint, refusal.service, now))) {
+      this->WasAnsweredRecently(refusal.fingerprint, refusal.service, now)) {
     return;
   }
   Entry& entry = this->FindOrInsert(refusal.fingerprint, now);
   TimePoint* refused_until = &entry.refused_until;
-  if (refusal.service != 0) {
+  if (refusal.service != kAnyService) {
     ServiceCrashes* service = this->FindOrInsertService(entry, refusal.service);
     if (service == nullptr) {
       return;
@@ -224,12 +239,13 @@
                                .time_left = service.blocked_until - now});
       continue;
     }
-    if (!this->IsSuspect(service) || age > this->options.crash_retention) {
+    if (!this->IsSuspect(entry, service) || age > this->options.crash_retention) {
       continue;
     }
     for (std::size_t i = 0; i < std::min(service.leaf_hashes.size(), this->options.crash_limit);
          ++i) {
       news.crashes.push_back({.fingerprint = fingerprint,
+                              .part = service.part,
                               .request = entry.request_hashes[i % entry.request_hashes.size()],
                               .service = service.service_hash,
                               .leaf = service.leaf_hashes[i],
--- a/tests/dispatch/crash_guard_test.cc
+++ b/tests/dispatch/crash_guard_test.cc
@@ -75,6 +75,65 @@
   }
 }
 
+// Guards against crashes that are counted for each service: a call of one leaf whose route moved to
+// another service, or is split over two, crashed three leaves of each.
+TEST_CASE("a call of one leaf that crashes every leaf and may run at two services") {
+  DispatchFixture fixture;
+  const RouteTarget first = {.service = ServiceName("single")};
+  const RouteTarget second = {.service = ServiceName("second")};
+  fixture.AddLeaf(second.service, "a", "east");
+  fixture.AddLeaf(second.service, "b", "west");
+  SUBCASE("its route moves after three crashes") {
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 2);
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 1);
+    fixture.SetTargets({second});
+  }
+  SUBCASE("its route moves between the crashes") {
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 2);
+    fixture.SetTargets({second});
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 1);
+  }
+  SUBCASE("its route becomes split over both after three crashes") {
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 2);
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 1);
+    fixture.SetTargets({first, second});
+  }
+  SUBCASE("another VM saw the crashes at the service before") {
+    DispatchFixture other_vm;
+    other_vm.request_id_prefix = "vm-2";
+    CHECK(RunCall(other_vm, "/one/1", CrashAlways) == 2);
+    ShareCrashes(other_vm, fixture);
+    fixture.SetTargets({second});
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 1);
+  }
+  for (int i = 0; i < 4; ++i) {
+    CHECK(RunCall(fixture, "/one/1", CrashAlways) == 0);
+    REQUIRE(fixture.GetAnswers().size() == 1);
+    CHECK(fixture.GetAnswers()[0].kind == AnswerKind::kRefused);
+    CHECK(fixture.GetAnswers()[0].reason == AnswerReason::kCrashesLeaves);
+  }
+}
+
+TEST_CASE("a call of one leaf that crashes the leaves of one of two services runs at the other") {
+  DispatchFixture fixture;
+  const RouteTarget first = {.service = ServiceName("single")};
+  const RouteTarget second = {.service = ServiceName("second")};
+  fixture.AddLeaf(second.service, "a", "east");
+  fixture.AddLeaf(second.service, "b", "west");
+  fixture.SetTargets({first, second});
+  const auto is_leaf_of_first = [&](const SendAction& send) {
+    return send.leaf.service == first.service;
+  };
+  std::size_t crashed_leaves = 0;
+  std::size_t answered_calls = 0;
+  for (int i = 0; i < 40; ++i) {
+    crashed_leaves += RunCall(fixture, "/one/1", is_leaf_of_first);
+    answered_calls += fixture.GetAnswers()[0].kind == AnswerKind::kPassedThrough ? 1 : 0;
+  }
+  CHECK(crashed_leaves <= 4);
+  CHECK(answered_calls >= 20);  // the share of the second service
+}
+
 TEST_CASE("a fan-out call that crashes every leaf is refused after one run on each of two VMs") {
   // Guards against a limit on crashed calls instead of crashed leaves. Each call crashes 180
   // leaves, and a limit on calls would let three of them through on each VM.
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -49,11 +49,22 @@
     this->AddLeaf(ServiceName("single"), "a", "east");
     this->AddLeaf(ServiceName("single"), "b", "west");
     table.routes = {fan_out_route, single_route, order_route};
-    table.BuildIndex();
-    this->coordinator.SetRoutes(std::make_shared<const RouteTable>(table));
+    this->PutRoutesInForce(table);
     this->coordinator.SetSenderCounts(1, 1);
   }
 
+  // Replaces the targets of the route "one", as the operator does.
+  void SetTargets(std::vector<RouteTarget> targets) {
+    RouteTable table = *this->coordinator.routes();
+    ++table.version;
+    for (Route& route : table.routes) {
+      if (route.name == "one") {
+        route.targets = targets;
+      }
+    }
+    this->PutRoutesInForce(std::move(table));
+  }
+
   void AddLeaf(const ServiceName& service, const std::string& suffix, const char* data_centre) {
     this->directory.Put({.id = LeafId(service.value + suffix),
                          .service = service,
@@ -152,6 +163,11 @@
     return matching;
   }
 
+  void PutRoutesInForce(RouteTable table) {
+    table.BuildIndex();
+    this->coordinator.SetRoutes(std::make_shared<const RouteTable>(std::move(table)));
+  }
+
   std::uint64_t last_revision = 0;
   std::uint64_t request_count = 0;
 };
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -17,6 +17,7 @@
       .silent_leaves = {{.leaf = LeafId("i-1"), .request_age = std::chrono::milliseconds(31)}},
       .leaving_leaves = {{.leaf = LeafId("i-2"), .started = 77}},
       .crashes = {{.fingerprint = 1,
+                   .part = CallPart::kWhole,
                    .request = 2,
                    .service = 3,
                    .leaf = 4,
@@ -41,6 +42,7 @@
     CHECK(read->leaving_leaves[0].leaf == LeafId("i-2"));
     CHECK(read->leaving_leaves[0].started == 77);
     REQUIRE(read->crashes.size() == 1);
+    CHECK(read->crashes[0].part == CallPart::kWhole);
     CHECK(read->crashes[0].request == 2);
     CHECK(read->crashes[0].leaf == 4);
     CHECK(read->crashes[0].age == std::chrono::milliseconds(50));
--- a/tests/leaf_policy/crash_sharing_test.cc
+++ b/tests/leaf_policy/crash_sharing_test.cc
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t kFingerprint = 99;
 constexpr std::uint64_t kService = 7;
+constexpr std::uint64_t kOtherService = 8;
 // Targets of the platform: a VM has kContactTime to learn of the third crash, and
 // kLateRequestLimit requests that arrive later may still reach leaves.
 constexpr Duration kContactTime = seconds(5);
@@ -44,16 +45,17 @@
     }
   }
 
-  // Runs a request of a call that crashes each leaf that begins to run it. Returns the number of
-  // leaves that it reached.
-  int RunCrashingRequest(std::size_t vm, int attempt_limit) {
+  // Runs a request of a call of one leaf that crashes each leaf that begins to run it. Returns the
+  // number of leaves that it reached.
+  int RunCrashingRequest(std::size_t vm, int attempt_limit, std::uint64_t service = kService) {
     ++this->request_count;
     int reached = 0;
-    while (reached < attempt_limit && !this->IsBlocked(vm)) {
+    while (reached < attempt_limit && !this->IsBlocked(vm, service)) {
       ++reached;
       this->guards[vm].RecordCrash({.fingerprint = kFingerprint,
+                                    .part = CallPart::kWhole,
                                     .request = this->request_count,
-                                    .service = kService,
+                                    .service = service,
                                     .leaf = ++this->crash_count},
                                    this->now);
       this->Send(vm, {.crashes = this->guards[vm].TakeReports()}, 16);
@@ -61,8 +63,8 @@
     return reached;
   }
 
-  bool IsBlocked(std::size_t vm) const {
-    return this->guards[vm].GetBlockTimeLeft(kFingerprint, kService, this->now) > Duration::zero();
+  bool IsBlocked(std::size_t vm, std::uint64_t service = kService) const {
+    return this->guards[vm].GetBlockTimeLeft(kFingerprint, service, this->now) > Duration::zero();
   }
   std::size_t CountBlocked() const {
     std::size_t blocked = 0;
@@ -155,6 +157,39 @@
   }
 }
 
+// Guards against crashes that are counted for each service: after the operator had moved the route
+// of a call that crashes each leaf, or split it, it crashed three leaves more.
+TEST_CASE("a call that crashes each leaf, at two services and at another VM each time") {
+  for (const std::size_t vm_count : {13U, 32U, 139U, 300U, 1100U}) {
+    for (const std::size_t requests_before_move : {1U, 2U, 3U}) {
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(vm_count);
+        CAPTURE(requests_before_move);
+        CAPTURE(seed);
+        Fleet fleet(vm_count, seed);
+        std::optional<TimePoint> third_crash_at;
+        int late_requests = 0;
+        for (std::size_t request = 0; request < 12; ++request) {
+          const std::uint64_t service = request < requests_before_move ? kService : kOtherService;
+          const bool is_late = third_crash_at && fleet.now > *third_crash_at + kContactTime;
+          const int reached = fleet.RunCrashingRequest(request % vm_count, 1, service);
+          late_requests += is_late ? reached : 0;
+          if (!third_crash_at && fleet.crash_count >= 3) {
+            third_crash_at = fleet.now;
+          }
+          fleet.RunFor(seconds(2));
+        }
+        CHECK(late_requests == 0);
+        CHECK(fleet.crash_count <= 4);
+        // VMs that start after the move learn of it as well.
+        fleet.guards[vm_count - 1] = CrashGuard();
+        fleet.RunFor(seconds(10));
+        CHECK(fleet.IsBlocked(vm_count - 1, kOtherService));
+      }
+    }
+  }
+}
+
 TEST_CASE("a fleet in which a call is blocked") {
   Fleet fleet(32, 3);
   for (std::size_t vm = 0; vm < 3; ++vm) {
@@ -204,11 +239,14 @@
       ++request;
       // Every twentieth reply is lost on each VM, so no VM sees two in a row.
       if (round == 0 || (round + vm) % 20 != 0) {
-        fleet.guards[vm].RecordSuccess(kFingerprint, kService, fleet.now);
+        fleet.guards[vm].RecordSuccess(kFingerprint, kService, CallPart::kWhole, fleet.now);
         continue;
       }
-      const LeafCrash crash = {
-          .fingerprint = kFingerprint, .request = request, .service = kService, .leaf = request};
+      const LeafCrash crash = {.fingerprint = kFingerprint,
+                               .part = CallPart::kWhole,
+                               .request = request,
+                               .service = kService,
+                               .leaf = request};
       fleet.guards[vm].RecordCrash(crash, fleet.now);
       for (CrashGuard& guard : fleet.guards) {
         guard.RecordPeerCrash(crash, fleet.now);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -174,6 +174,8 @@
                 late = state["draining_at"] and time.monotonic() - state["draining_at"] - DRAIN_TIME_S - SLACK_S
                 if late and late > 0 and self.calm(DRAIN_TIME_S + 4):
                     self.break_promise(f"leaf {state['id']} got {request} {late:.1f} s too late after its drain")
+                if self.crashes_leaf(state, start, request):
+                    return
                 method = start.split()[0]
                 if method == "POST":
                     self.runs[request] = self.runs.get(request, 0) + 1
@@ -201,6 +203,10 @@
         finally:
             writer.close()
 
+    def crashes_leaf(self, state, start, request):
+        """Tests override this: true if the leaf has crashed under the request."""
+        return False
+
     # ---- configuration --------------------------------------------------------------------------
 
     async def publish(self):
