--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -127,11 +127,12 @@
                                     {"waited_ms", FormatMilliseconds(silent_leaf.request_age)}});
   }
   for (const LeafCrash& crash : message.crashes) {
-    this->log.Write("leaf_crash",
-                    {{"fingerprint", absl::StrCat(absl::Hex(crash.fingerprint))},
-                     {"service", absl::StrCat(absl::Hex(crash.service))},
-                     {"known_crashes", std::to_string(this->coordinator.crash_guard().CountCrashes(
-                                           crash.fingerprint))}});
+    this->log.Write(
+        "leaf_crash",
+        {{"fingerprint", absl::StrCat(absl::Hex(crash.fingerprint))},
+         {"service", absl::StrCat(absl::Hex(crash.service))},
+         {"known_crashes",
+          std::to_string(this->coordinator.crash_guard().CountCrashes(crash.fingerprint))}});
   }
   std::vector<LeafCrash> crashes = message.crashes;
   this->SendLeafReports(std::move(message), this->PickLeafReportTargets());
