Hand a call that may run once to one coordinator only

HandOver was made for calls that fan out, which may be repeated: it hands a call over again if the first coordinator fails early. Calls of one leaf are to be handed over too while the limits of their leaves are shared among the coordinators, and some of them may run once. These fail as possibly run when a coordinator that may have started them fails.

--- a/include/ibishold/hand_over.h
+++ b/include/ibishold/hand_over.h
@@ -38,7 +38,8 @@
   Duration suspect_duration = std::chrono::milliseconds(2500);
   // Subtracted from the time limit, so that the answer reaches the caller within it.
   Duration time_limit_margin = std::chrono::milliseconds(15);
-  int coordinator_limit = 2;      // per call: coordinators that may have started it
+  // Per call: coordinators that may have started it. A call that may run once is started by one.
+  int coordinator_limit = 2;
   int connect_failure_limit = 3;  // per call; when reached, this VM coordinates it
 };
 
@@ -111,6 +112,7 @@
     AttemptId probe = 0;      // 0: no probe in progress
     std::vector<RunningAttempt> running_attempts;
     std::vector<PeerAddress> tried_coordinators;
+    int coordinator_limit = 1;       // coordinators that may have started the call
     int possibly_started_count = 0;  // coordinators that may have started the call
     int connect_failures = 0;
   };
--- a/src/hand_over/hand_over.cc
+++ b/src/hand_over/hand_over.cc
@@ -17,6 +17,7 @@
                      TimePoint now,
                      std::vector<HandOverAction>& actions) {
   CallProgress& progress = this->calls[ticket];
+  progress.coordinator_limit = route.repeatable ? this->options.coordinator_limit : 1;
   progress.time_left_at = now;
   progress.time_left = call.time_left;
   progress.deadline = now + std::min(route.time_limit, call.time_left - call.external_latency) -
@@ -167,7 +168,7 @@
   }
   this->CancelProbe(progress, ticket, actions);
   const bool is_unsent = failure == AttemptFailure::kNoConnection;
-  if (is_unsent || (progress.possibly_started_count < this->options.coordinator_limit &&
+  if (is_unsent || (progress.possibly_started_count < progress.coordinator_limit &&
                     now < progress.retry_until)) {
     this->SendToCoordinator(ticket, progress, now, actions);
     return;
--- a/tests/hand_over/hand_over_call_test.cc
+++ b/tests/hand_over/hand_over_call_test.cc
@@ -155,4 +155,31 @@
   CHECK(fixture.hand_over.in_progress() == 0);
 }
 
+TEST_CASE("a call that may run once, handed over to a coordinator") {
+  HandOverFixture fixture;
+  fixture.route.repeatable = false;
+  fixture.Begin();
+  const HandOverAction first_send = fixture.FilterActions(HandOverStep::kSend)[0];
+  fixture.actions.clear();
+  SUBCASE("is not handed over again if the first coordinator may have started it") {
+    fixture.hand_over.OnFailure(first_send.attempt, AttemptFailure::kBroken, fixture.now,
+                                fixture.actions);
+    CHECK(fixture.FilterActions(HandOverStep::kSend).empty());
+    CHECK(fixture.FilterActions(HandOverStep::kCoordinateLocally).empty());
+    REQUIRE(fixture.FilterActions(HandOverStep::kAnswer).size() == 1);
+    CHECK(fixture.FilterActions(HandOverStep::kAnswer)[0].answer.kind == AnswerKind::kFailed);
+  }
+  SUBCASE("goes to another coordinator, not marked as possibly sent, if no connection opens") {
+    fixture.hand_over.OnFailure(first_send.attempt, AttemptFailure::kNoConnection, fixture.now,
+                                fixture.actions);
+    REQUIRE(fixture.FilterActions(HandOverStep::kSend).size() == 1);
+    CHECK_FALSE(fixture.FilterActions(HandOverStep::kSend)[0].may_have_been_sent);
+  }
+  SUBCASE("is run here, not marked as possibly sent, if the coordinator declines it") {
+    fixture.hand_over.OnDeclined(first_send.attempt, fixture.now, fixture.actions);
+    REQUIRE(fixture.FilterActions(HandOverStep::kCoordinateLocally).size() == 1);
+    CHECK_FALSE(fixture.FilterActions(HandOverStep::kCoordinateLocally)[0].may_have_been_sent);
+  }
+}
+
 }  // namespace ibishold
