Share the request rates that leaves state as their limits among the VMs

PauseDetector estimates how long messages waited while a process was paused, so that it does not pass on old news as new.

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -57,6 +57,14 @@
   Duration request_age{};  // time since the send; the leaf has not replied since
 };
 
+// Identifies one run of a leaf, with the same value on every VM.
+using LeafRun = std::uint64_t;
+
+// `started` is LeafEntry::started of the run.
+inline LeafRun HashLeafRun(const LeafId& leaf, std::uint64_t started) {
+  return StableHash(leaf.value, started);
+}
+
 struct LeavingLeaf {
   LeafId leaf;
   std::uint64_t started = 0;  // LeafEntry::started of the run that is leaving
@@ -74,8 +82,16 @@
   CallPart part = CallPart::kShard;
   std::uint64_t request = 0;  // hash of Call::request_id
   std::uint64_t service = 0;  // hash of the service name
-  std::uint64_t leaf = 0;     // hash of the leaf's id and the start time of its run
-  Duration age{};             // time since the crash, or since a later crash by the same call
+  LeafRun leaf = 0;
+  Duration age{};  // time since the crash, or since a later crash by the same call
+};
+
+// Request rate that a leaf states as its limit.
+struct LeafLimitReport {
+  LeafRun leaf = 0;
+  std::optional<double>
+      rate;        // requests/s from all VMs; nothing: the leaf states no limit any more
+  Duration age{};  // time since the leaf stated this
 };
 
 // Calls with this fingerprint are refused, because they crash leaves.
@@ -101,6 +117,9 @@
   std::optional<LoadReport> load;
   // Set with status 503: the leaf accepts no requests from this VM for this time.
   std::optional<Duration> retry_after;
+  // The leaf accepts this many requests/s from all VMs together until it states another limit, or
+  // none.
+  std::optional<double> rate_limit;
 
   bool success() const {
     return this->status >= 200 && this->status < 300 && !this->signature.empty();
@@ -149,9 +168,10 @@
   kCoordinatorLost,  // the coordinator failed or does not respond
   kPartialAtStop,    // this process stops; enough shards for a partial answer have replied
   kStopping,         // this process stops; a partial answer is not possible
+  kLeafLimit,        // the leaves limit their request rate, and this VM's share is used up
 };
 
-inline constexpr std::array<std::string_view, 17> kAnswerReasonNames = {"complete",
+inline constexpr std::array<std::string_view, 18> kAnswerReasonNames = {"complete",
                                                                         "partial_at_objective",
                                                                         "partial_shards_failed",
                                                                         "partial_at_limit",
@@ -167,7 +187,8 @@
                                                                         "overload",
                                                                         "coordinator_lost",
                                                                         "partial_at_stop",
-                                                                        "stopping"};
+                                                                        "stopping",
+                                                                        "leaf_limit"};
 
 struct Answer {
   AnswerKind kind = AnswerKind::kRefused;
--- a/include/ibishold/core.h
+++ b/include/ibishold/core.h
@@ -10,6 +10,7 @@
 //   4. Hashing        StableHash, RendezvousScore
 //   5. Randomness     Random
 //   6. Text           ParseNumber, SplitText, TrimText, EqualsIgnoreCase
+//   7. Pauses         PauseDetector
 
 #include <array>
 #include <charconv>
@@ -166,6 +167,28 @@
 // Compares two texts and ignores the case of ASCII letters.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
+// ---- 7. Pauses ----------------------------------------------------------------------------------
+
+// Estimates how long messages may have waited in the kernel because the process did not run. The
+// age that a message states does not include that time.
+class PauseDetector {
+ public:
+  PauseDetector(Duration tick_interval, TimePoint now);
+
+  // A timer must call this at `tick_interval`.
+  void OnTick(TimePoint now);
+  // Returns the time that a message received now may have waited; zero if there was no pause.
+  Duration EstimateWait(TimePoint now) const;
+
+ private:
+  Duration MeasureLag(TimePoint now) const;  // by which the next tick is late
+
+  Duration tick_interval;
+  TimePoint ticked_at;
+  Duration pause{};  // length of the last pause
+  TimePoint resumed_at{};
+};
+
 }  // namespace ibishold
 
 #endif  // IBISHOLD_CORE_H_
--- /dev/null
+++ b/src/leaf_limits/leaf_limits.cc
@@ -0,0 +1,313 @@
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <utility>
+
+#include "ibishold/leaf_limits.h"
+
+namespace ibishold {
+
+namespace {
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void AddOnce(std::vector<LeafRun>& leaves, LeafRun leaf) {
+  if (std::find(leaves.begin(), leaves.end(), leaf) == leaves.end()) {
+    leaves.push_back(leaf);
+  }
+}
+
+}  // namespace
+
+LeafLimits::LeafLimits(LeafLimitOptions options) : options(options) {}
+
+// ---- statements ---------------------------------------------------------------------------------
+
+void LeafLimits::RecordLimit(LeafRun leaf, double rate, TimePoint now) {
+  if (this->Apply(leaf, rate, now, now)) {
+    AddOnce(this->changed_by_leaves, leaf);
+  }
+}
+
+void LeafLimits::RecordNoLimit(LeafRun leaf, TimePoint sent_at, TimePoint now) {
+  if (this->limits.contains(leaf) && this->Apply(leaf, std::nullopt, sent_at, now)) {
+    AddOnce(this->changed_by_leaves, leaf);
+  }
+}
+
+bool LeafLimits::RecordPeerReport(const LeafLimitReport& report, TimePoint now) {
+  const Duration max_age =
+      report.rate ? this->options.statement_lifetime : this->options.max_end_age;
+  if (report.age < Duration::zero() || report.age >= max_age ||
+      (!report.rate && !this->limits.contains(report.leaf))) {
+    return false;
+  }
+  if (!this->Apply(report.leaf, report.rate, now - report.age, now)) {
+    return false;
+  }
+  AddOnce(this->changed_by_peers, report.leaf);
+  return true;
+}
+
+bool LeafLimits::Apply(LeafRun leaf,
+                       std::optional<double> rate,
+                       TimePoint stated_at,
+                       TimePoint now) {
+  Limit& limit = this->FindOrInsert(leaf, now);
+  if (stated_at <= limit.stated_at) {
+    return false;
+  }
+  const bool was_in_force = limit.rate && !this->IsExpired(limit, now);
+  const bool is_change = was_in_force != rate.has_value() ||
+                         (rate && std::abs(*rate - *limit.rate) >
+                                      this->options.reported_change * std::max(*limit.rate, *rate));
+  limit.stated_at = stated_at;
+  if (rate == limit.rate) {
+    return is_change;
+  }
+  if (was_in_force) {
+    this->UpdateTokens(leaf, limit, now);  // at the old rate
+  }
+  limit.rate = rate;
+  if (rate) {
+    this->UpdateShare(leaf, limit);
+    if (!was_in_force) {
+      limit.tokens = limit.share_burst / 2;
+      limit.tokens_at = now;
+      limit.returns_until = {};
+    }
+  }
+  return is_change;
+}
+
+LeafLimits::Limit& LeafLimits::FindOrInsert(LeafRun leaf, TimePoint now) {
+  if (this->limits.size() >= this->options.max_leaves && !this->limits.contains(leaf)) {
+    std::erase_if(this->limits,
+                  [&](const auto& entry) { return this->IsExpired(entry.second, now); });
+  }
+  if (this->limits.size() >= this->options.max_leaves && !this->limits.contains(leaf)) {
+    this->limits.erase(std::min_element(
+        this->limits.begin(), this->limits.end(),
+        [](const auto& a, const auto& b) { return a.second.stated_at < b.second.stated_at; }));
+  }
+  return this->limits[leaf];
+}
+
+bool LeafLimits::IsExpired(const Limit& limit, TimePoint now) const {
+  return now - limit.stated_at > this->options.statement_lifetime;
+}
+
+LeafLimits::Limit* LeafLimits::FindLimit(LeafRun leaf, TimePoint now) {
+  const auto found = this->limits.find(leaf);
+  return found == this->limits.end() || !found->second.rate || this->IsExpired(found->second, now)
+             ? nullptr
+             : &found->second;
+}
+
+std::optional<double> LeafLimits::GetLimit(LeafRun leaf, TimePoint now) const {
+  const auto found = this->limits.find(leaf);
+  return found == this->limits.end() || this->IsExpired(found->second, now) ? std::nullopt
+                                                                            : found->second.rate;
+}
+
+// ---- this VM's share ----------------------------------------------------------------------------
+
+void LeafLimits::SetSenders(LimitSenders new_senders, TimePoint now) {
+  std::erase_if(this->limits,
+                [&](const auto& entry) { return this->IsExpired(entry.second, now); });
+  if (new_senders == this->senders) {
+    return;
+  }
+  for (auto& [leaf, limit] : this->limits) {
+    this->UpdateTokens(leaf, limit, now);  // with the old share
+  }
+  this->senders = std::move(new_senders);
+  ++this->senders_version;
+}
+
+double LeafLimits::ComputeFleetRate(const Limit& limit) const {
+  return std::max(limit.rate.value_or(0), this->options.min_rate) * this->senders.reach;
+}
+
+// Returns the number of senders that are selected before this VM to hold a part of the limit.
+std::size_t LeafLimits::CountVmsBefore(LeafRun leaf) const {
+  const auto score = [leaf](std::uint64_t vm) { return Random(leaf ^ std::rotl(vm, 1)).Next(); };
+  const std::uint64_t own_score = score(this->senders.self);
+  return static_cast<std::size_t>(
+      std::count_if(this->senders.vms.begin(), this->senders.vms.end(),
+                    [&](std::uint64_t vm) { return score(vm) > own_score; }));
+}
+
+void LeafLimits::UpdateShare(LeafRun leaf, Limit& limit) const {
+  limit.share_version = this->senders_version;
+  limit.share_rate = 0;
+  limit.share_burst = 0;
+  const std::vector<std::uint64_t>& vms = this->senders.vms;
+  if (std::find(vms.begin(), vms.end(), this->senders.self) == vms.end() ||
+      this->senders.reach <= 0) {
+    return;
+  }
+  const double fleet_rate = this->ComputeFleetRate(limit);
+  const double fleet_burst = fleet_rate * ToSeconds(this->options.burst_time) +
+                             this->options.burst_requests * this->senders.reach;
+  // Each holder needs a burst of at least one request to send anything.
+  const double holders = std::clamp(std::floor(fleet_burst), 1.0, static_cast<double>(vms.size()));
+  if (static_cast<double>(this->CountVmsBefore(leaf)) >= holders) {
+    return;
+  }
+  limit.share_rate = fleet_rate / holders;
+  limit.share_burst = std::max(1.0, fleet_burst / holders);
+}
+
+void LeafLimits::UpdateTokens(LeafRun leaf, Limit& limit, TimePoint now) const {
+  if (limit.share_version != this->senders_version) {
+    this->UpdateShare(leaf, limit);
+  }
+  const double seconds = std::max(0.0, ToSeconds(now - limit.tokens_at));
+  limit.tokens = std::min(limit.share_burst, limit.tokens + limit.share_rate * seconds);
+  limit.tokens_at = std::max(limit.tokens_at, now);
+}
+
+bool LeafLimits::CanSend(LeafRun leaf, int urgency, TimePoint now) {
+  Limit* limit = this->FindLimit(leaf, now);
+  if (limit == nullptr) {
+    return true;
+  }
+  this->UpdateTokens(leaf, *limit, now);
+  return limit->share_burst > 0 &&
+         limit->tokens >= this->ComputeNeededTokens(*limit, urgency, now) &&
+         now >= this->FindPrecedenceEnd(*limit, urgency);
+}
+
+double LeafLimits::ComputeNeededTokens(const Limit& limit, int urgency, TimePoint now) const {
+  const bool is_less_urgent =
+      urgency > limit.asked.urgency && now - limit.asked.at < this->options.precedence_time;
+  return is_less_urgent ? std::min(2.0, limit.share_burst) : 1;
+}
+
+TimePoint LeafLimits::FindPrecedenceEnd(const Limit& limit, int urgency) const {
+  if (urgency <= limit.denied.urgency || limit.share_rate <= 0) {
+    return {};
+  }
+  return limit.denied.at +
+         std::min(this->options.precedence_time,
+                  FromSeconds(this->options.precedence_requests / limit.share_rate));
+}
+
+void LeafLimits::KeepMostUrgent(UrgentRequest& kept, int urgency, TimePoint now) const {
+  if (urgency <= kept.urgency || now - kept.at > this->options.precedence_time) {
+    kept = {.urgency = urgency, .at = now};
+  }
+}
+
+bool LeafLimits::HasShare(LeafRun leaf, TimePoint now) {
+  Limit* limit = this->FindLimit(leaf, now);
+  if (limit == nullptr) {
+    return true;
+  }
+  this->UpdateTokens(leaf, *limit, now);
+  return limit->share_burst > 0;
+}
+
+void LeafLimits::TakeToken(LeafRun leaf, int urgency, TimePoint now) {
+  if (Limit* limit = this->FindLimit(leaf, now)) {
+    this->UpdateTokens(leaf, *limit, now);
+    limit->tokens = std::max(0.0, limit->tokens - 1);
+    this->KeepMostUrgent(limit->asked, urgency, now);
+  }
+}
+
+void LeafLimits::ReturnToken(LeafRun leaf, TimePoint now) {
+  if (Limit* limit = this->FindLimit(leaf, now)) {
+    this->UpdateTokens(leaf, *limit, now);
+    limit->tokens = std::min(limit->share_burst, limit->tokens + 1);
+  }
+}
+
+void LeafLimits::RecordDenial(LeafRun leaf, int urgency, TimePoint now) {
+  if (Limit* limit = this->FindLimit(leaf, now)) {
+    this->KeepMostUrgent(limit->asked, urgency, now);
+    this->KeepMostUrgent(limit->denied, urgency, now);
+  }
+}
+
+Duration LeafLimits::GetReturnWait(LeafRun leaf, int urgency, TimePoint now) {
+  if (this->CanSend(leaf, urgency, now)) {
+    return Duration::zero();
+  }
+  const Limit& limit = *this->FindLimit(leaf, now);
+  // Another VM serves a caller that returns if this one has no share.
+  const double missing_tokens =
+      std::max(0.0, this->ComputeNeededTokens(limit, urgency, now) - limit.tokens);
+  const double token_wait_s = limit.share_rate > 0
+                                  ? missing_tokens / limit.share_rate
+                                  : 1 / std::max(*limit.rate, this->options.min_rate);
+  return std::min(this->options.max_return_wait,
+                  std::max({FromSeconds(token_wait_s), limit.returns_until - now,
+                            this->FindPrecedenceEnd(limit, urgency) - now}));
+}
+
+// Callers return to any VM, so each VM lets them return at its part of the fleet's rate.
+void LeafLimits::ReserveReturn(LeafRun leaf, TimePoint now) {
+  Limit* limit = this->FindLimit(leaf, now);
+  const double fleet_rate = limit == nullptr ? 0 : this->ComputeFleetRate(*limit);
+  if (fleet_rate <= 0) {
+    return;
+  }
+  const double vm_count = std::max<double>(1, static_cast<double>(this->senders.vms.size()));
+  limit->returns_until =
+      std::min(now + this->options.max_return_wait,
+               std::max(now, limit->returns_until) + FromSeconds(vm_count / fleet_rate));
+}
+
+// ---- reports ------------------------------------------------------------------------------------
+
+LeafLimitReport LeafLimits::MakeReport(LeafRun leaf, const Limit& limit, TimePoint now) const {
+  return {.leaf = leaf, .rate = limit.rate, .age = now - limit.stated_at};
+}
+
+std::vector<LeafLimitReport> LeafLimits::TakeReports(TimePoint now) {
+  std::vector<LeafLimitReport> reports;
+  std::erase_if(this->changed_by_leaves, [&](LeafRun leaf) {
+    const auto found = this->limits.find(leaf);
+    if (found == this->limits.end()) {
+      return true;
+    }
+    if (now - found->second.reported_at < this->options.report_interval) {
+      return false;
+    }
+    found->second.reported_at = now;
+    reports.push_back(this->MakeReport(leaf, found->second, now));
+    return true;
+  });
+  return reports;
+}
+
+std::vector<LeafLimitReport> LeafLimits::TakeNews(TimePoint now) {
+  std::vector<LeafLimitReport> news;
+  for (const LeafRun leaf : std::exchange(this->changed_by_peers, {})) {
+    if (const auto found = this->limits.find(leaf); found != this->limits.end()) {
+      news.push_back(this->MakeReport(leaf, found->second, now));
+    }
+  }
+  return news;
+}
+
+std::vector<LeafLimitReport> LeafLimits::ListReports(TimePoint now) const {
+  std::vector<LeafLimitReport> reports;
+  for (const auto& [leaf, limit] : this->limits) {
+    const LeafLimitReport report = this->MakeReport(leaf, limit, now);
+    if (limit.rate ? !this->IsExpired(limit, now) : report.age < this->options.max_end_age) {
+      reports.push_back(report);
+    }
+  }
+  return reports;
+}
+
+}  // namespace ibishold
