--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -21,6 +21,7 @@
 
 #include "ibishold/call.h"
 #include "ibishold/core.h"
+#include "ibishold/leaf_limits.h"
 #include "ibishold/leaf_policy.h"
 #include "ibishold/routing.h"
 
@@ -31,6 +32,7 @@
 struct CoordinatorOptions {
   LeafTrackerOptions tracker;
   LeafNoticeOptions notices;
+  LeafLimitOptions limits;
   ExtraAttemptOptions extra_attempts;
   CrashGuardOptions crash_guard;
   // Subtracted from the objective, because this VM needs this time to build the answer.
@@ -101,6 +103,11 @@
   // Sets how many VMs send to the leaves of fan-out routes and to the leaves of other routes. This
   // VM gets an equal part of the retry budgets and connection limits.
   void SetSenderCounts(std::size_t fan_out_count, std::size_t single_count);
+  // Sets the VMs that share the request rates that leaves state as their limits.
+  void SetLimitSenders(LimitSenders senders, TimePoint now);
+  // True if all leaves of a service of the route state limits of which this VM has no share. Other
+  // VMs should run the call then.
+  bool LacksLimitShare(const Route& route, TimePoint now);
   const RouteTablePtr& routes() const { return this->route_table; }
 
   CallId Begin(Call call, TimePoint now, Actions& actions);
@@ -135,6 +142,7 @@
   std::size_t in_progress() const { return this->calls.size(); }
   LeafTracker& tracker() { return this->leaf_tracker; }
   LeafNotices& notices() { return this->leaf_notices; }
+  LeafLimits& limits() { return this->leaf_limits; }
   CrashGuard& crash_guard() { return this->call_crash_guard; }
 
  private:
@@ -184,6 +192,23 @@
     std::vector<CallEvent> events;
     TimePoint timer_at{};
   };
+  // Why no request of a shard can be sent now.
+  enum class SendObstacle : std::uint8_t {
+    kNoLeaf,      // no leaf accepts requests, or all have been tried
+    kLeavesBusy,  // all connections to the leaves are in use, or the leaves are cold
+    kLeafLimit,   // this VM's share of the leaves' limits is used up
+  };
+  static constexpr std::array<std::string_view, 3> kSendObstacleNames = {"no_leaf", "leaves_busy",
+                                                                         "leaf_limit"};
+  struct LeafChoice {
+    const LeafEntry* leaf = nullptr;
+    SendObstacle obstacle = SendObstacle::kNoLeaf;  // if `leaf` is null
+  };
+  // Time until a leaf accepts a request.
+  struct LeafWait {
+    Duration duration{};
+    std::optional<LeafRun> limited_leaf;  // set if the leaf's limit is the reason
+  };
   using CallMap = std::unordered_map<CallId, CallProgress>;
 
   void StartShard(CallId id, CallProgress& progress, Shard& shard, TimePoint now, Actions& actions);
@@ -208,12 +233,26 @@
                      TimePoint now,
                      Actions& actions);
   std::vector<const LeafEntry*> FindCandidates(const Shard& shard, TimePoint now) const;
+  // Chooses the leaf among the candidates that gets the shard's next request.
+  LeafChoice ChooseLeaf(const CallProgress& progress,
+                        const Shard& shard,
+                        std::vector<const LeafEntry*> candidates,
+                        bool is_extra,
+                        TimePoint now);
+  // Rank of a request among those that share a leaf's limit; lower is more urgent. Hedges and
+  // retries come after the first requests of calls with the same priority.
+  static int ComputeUrgency(const Route& route, bool is_extra);
+  // True if one of the leaves has no limit, or this VM may send it a request now.
+  bool IsWithinLimits(const std::vector<const LeafEntry*>& leaves, int urgency, TimePoint now);
+  void RefuseForLimits(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
   // Returns the earliest time at which a leaf of the shard that sent Retry-After accepts requests
   // again; nullopt if no leaf sent one.
   std::optional<TimePoint> FindEarliestBackoffEnd(const Shard& shard, TimePoint now) const;
-  // Returns the time until enough shards for an answer have a leaf that accepts requests. Uses the
-  // Retry-After of the leaves, or retry_after_no_leaf for a shard without one.
-  Duration ComputeTimeUntilServable(const CallProgress& progress, TimePoint now) const;
+  // Returns the shortest time until a leaf of the shard accepts a request, by the leaves' limits
+  // and Retry-After; retry_after_no_leaf if it has no leaf.
+  LeafWait FindShortestWait(const Shard& shard, int urgency, TimePoint now);
+  // Returns the time until enough shards for an answer have a leaf that accepts requests.
+  LeafWait FindTimeUntilServable(const CallProgress& progress, TimePoint now);
   bool RouteOrRefuse(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
   // Removes the attempt's SendAction. Returns false if it is not in `actions`, because it was
   // carried out in an earlier step.
@@ -261,6 +300,7 @@
   Random random;
   LeafTracker leaf_tracker;
   LeafNotices leaf_notices;
+  LeafLimits leaf_limits;
   ExtraAttemptBudget extra_attempt_budget;
   CrashGuard call_crash_guard;
   TimePoint stop_ends_at = TimePoint::max();
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -127,7 +127,10 @@
   Duration loss_timeout = std::chrono::milliseconds(3500);
   Duration loss_timeout_per_peer = std::chrono::milliseconds(100);
   Duration forget_after = std::chrono::minutes(10);  // age at which a lost peer is deleted
-  double seed_probability = 0.25;                    // share of the messages that also go to a seed
+  // A lost VM may still work where this VM cannot see it. It counts for ComputeReach() for this
+  // long.
+  Duration reach_window = std::chrono::seconds(60);
+  double seed_probability = 0.25;  // share of the messages that also go to a seed
 };
 
 // Membership by gossip, bootstrapped from a few seed addresses. The message size is fixed, so the
@@ -164,6 +167,10 @@
   std::vector<Peer> UsablePeers(TimePoint now) const;
   // Number of live VMs including this one and suspected peers; the divisor for shared limits.
   std::size_t LiveCount(TimePoint now) const;
+  // Live VMs that take new work, including suspected peers; without this VM if it is stopping.
+  std::vector<PeerAddress> WorkingPeers(TimePoint now) const;
+  // Share of the fleet that this VM is in contact with: live VMs / VMs that were live lately.
+  double ComputeReach(TimePoint now) const;
 
  private:
   struct PeerRecord {
@@ -172,6 +179,7 @@
     TimePoint suspect_until{};
   };
 
+  Duration ComputeLossTimeout() const;
   bool live(const PeerRecord& record, TimePoint now) const;
 
   PeerTableOptions options;
@@ -360,6 +368,7 @@
   std::vector<SilentLeaf> silent_leaves;    // just detected by the sender
   std::vector<LeavingLeaf> leaving_leaves;  // announced in the last seconds
   std::vector<LeafCrash> crashes;           // just detected by the sender
+  std::vector<LeafLimitReport> limits;
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -87,8 +87,9 @@
   std::size_t max_leaving_leaves = 8;
   std::size_t max_crashes = 12;
   std::size_t max_refusals = 8;
+  std::size_t max_limits = 8;
   std::size_t leaf_report_targets = 16;  // VMs that receive a report about leaves
-  std::size_t crash_news_targets = 4;    // VMs that this VM passes news of crashes on to
+  std::size_t news_targets = 4;          // VMs that this VM passes news of crashes and limits on to
   // Delay of the first read of the store when the whole system starts, so that the gossip of peers
   // arrives first.
   Duration first_store_read_delay = std::chrono::milliseconds(350);
@@ -124,6 +125,7 @@
     HttpRequest request;
     Call call;
     std::string route;
+    bool repeatable = false;  // Route::repeatable
     TimePoint arrived{};
     TimePoint sent_at{};      // when it was sent to `coordinator`
     std::string coordinator;  // address that it was sent to last
@@ -137,6 +139,7 @@
 
   // Callers and leaves (node_calls.h).
   void OnRequest(std::uint64_t ticket, HttpRequest request, Duration caller_time);
+  bool NeedsCoordinator(const Route& route, TimePoint now);
   void RunCall(CallerPort& port, std::uint64_t ticket, HttpRequest&& request, Call call);
   void OnCallerLeft(CallerPort& port, std::uint64_t ticket);
   void OnLeafReply(AttemptId attempt, HttpReply reply);
@@ -166,6 +169,10 @@
   void SendMessage(const GossipMessage& message, const std::vector<PeerAddress>& targets);
   void ProcessLeafReports();
   void ForwardCrashNews();
+  void SendLimitReports(const std::vector<LeafLimitReport>& reports);
+  void LogLeafLimit(const LeafLimitReport& report, const std::string& seen_by);
+  void ForwardLimitNews();
+  void UpdateLimitSenders(TimePoint now);
   std::vector<PeerAddress> PickLeafReportTargets();
   std::vector<PeerAddress> PickRandomPeers(std::size_t count);
   void SendLeafReports(GossipMessage message, const std::vector<PeerAddress>& targets);
@@ -262,6 +269,7 @@
   TimePoint settings_read_at{};
   TimePoint preconnected_at{};
   TimePoint plan_updated_at{};
+  PauseDetector pause_detector{kTickInterval, BootClock::now()};
 };
 
 }  // namespace ibishold
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -252,6 +252,7 @@
   leavingLeaves @6 :List(LeavingLeaf);  # leaves that have said so in the last seconds
   refusals @7 :List(CallRefusal);       # calls that crash leaves
   crashes @8 :List(LeafCrash);          # leaves that have just crashed while they ran a call
+  limits @9 :List(LeafLimit);           # request rates that leaves state as their limits
 }
 
 struct CallRefusal {
@@ -270,6 +271,12 @@
   wholeCall @5 :Bool;                   # the leaf ran the whole call, not a shard of a fan-out call
 }
 
+struct LeafLimit {
+  leaf @0 :UInt64;                      # stable hash of one run of the leaf
+  perSecond @1 :Float32;                # requests/s from all VMs; negative: no limit any more
+  ageMs @2 :UInt32;                     # time since the leaf stated this
+}
+
 struct LeavingLeaf {
   leaf @0 :Text;                        # id
   started @1 :UInt64;                   # ms since 1970 at the start of the run that leaves
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -100,6 +100,7 @@
 CAPNP_DECLARE_SCHEMA(d8727c35eef01af1);
 CAPNP_DECLARE_SCHEMA(db229c8644aba313);
 CAPNP_DECLARE_SCHEMA(ea147d84111eaecb);
+CAPNP_DECLARE_SCHEMA(91a007fafce0f322);
 CAPNP_DECLARE_SCHEMA(e1d6d331cbca6a98);
 CAPNP_DECLARE_SCHEMA(ec594d21c27eb449);
 CAPNP_DECLARE_SCHEMA(bb095bfb8aae7ea5);
@@ -536,7 +537,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -573,6 +574,21 @@
   };
 };
 
+struct LeafLimit {
+  LeafLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91a007fafce0f322, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LeavingLeaf {
   LeavingLeaf() = delete;
 
@@ -3486,6 +3502,9 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3575,6 +3594,13 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3789,6 +3815,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeafLimit::Reader {
+public:
+  typedef LeafLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLeaf() const;
+
+  inline float getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeafLimit::Builder {
+public:
+  typedef LeafLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLeaf();
+  inline void setLeaf( ::uint64_t value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeafLimit::Pipeline {
+public:
+  typedef LeafLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LeavingLeaf::Reader {
 public:
   typedef LeavingLeaf Reads;
@@ -8044,6 +8156,40 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool PeerGossip::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGossip::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Reader PeerGossip::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerGossip::Builder::setLimits( ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Builder PeerGossip::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void PeerGossip::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>> PeerGossip::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t CallRefusal::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8170,6 +8316,48 @@
       ::capnp::bounded<288>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LeafLimit::Reader::getLeaf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeafLimit::Builder::getLeaf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeafLimit::Builder::setLeaf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float LeafLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float LeafLimit::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeafLimit::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LeafLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeafLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeafLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeavingLeaf::Reader::hasLeaf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -12,6 +12,7 @@
       random(seed),
       leaf_tracker(this->options.tracker, random.Next()),
       leaf_notices(this->options.notices),
+      leaf_limits(this->options.limits),
       extra_attempt_budget(this->options.extra_attempts),
       call_crash_guard(this->options.crash_guard) {}
 
@@ -24,6 +25,10 @@
   this->single_senders = std::max<std::size_t>(single_count, 1);
 }
 
+void Coordinator::SetLimitSenders(LimitSenders senders, TimePoint now) {
+  this->leaf_limits.SetSenders(std::move(senders), now);
+}
+
 std::size_t Coordinator::CountSenders(const CallProgress& progress) const {
   return progress.route->fan_out() ? this->fan_out_senders : this->single_senders;
 }
@@ -63,134 +68,6 @@
   return id;
 }
 
-// Finds the route and the shards of the call. Ends the call and returns true if there is no route
-// table or no matching route, if the call crashes leaves, or if too few shards have a leaf.
-bool Coordinator::RouteOrRefuse(CallId id,
-                                CallProgress& progress,
-                                TimePoint now,
-                                Actions& actions) {
-  if (progress.route_table == nullptr) {
-    this->Finish(id, progress,
-                 this->BuildRefusal(progress, AnswerReason::kNoConfiguration,
-                                    this->options.retry_after_no_configuration),
-                 now, actions);
-    return true;
-  }
-  progress.route = progress.route_table->Find(progress.call.host, progress.call.path);
-  if (progress.route == nullptr) {
-    this->Finish(id, progress, {.kind = AnswerKind::kNoRoute, .reason = AnswerReason::kNoRoute},
-                 now, actions);
-    return true;
-  }
-  if (const Duration refusal_time_left =
-          this->call_crash_guard.GetRefusalTimeLeft(progress.call.fingerprint, now);
-      refusal_time_left > Duration::zero()) {
-    this->Finish(id, progress,
-                 this->BuildRefusal(progress, AnswerReason::kCrashesLeaves, refusal_time_left), now,
-                 actions);
-    return true;
-  }
-  const Route& route = *progress.route;
-  if (!this->HasTimeBeforeStop(route, now)) {
-    this->Finish(
-        id, progress,
-        this->BuildRefusal(progress, AnswerReason::kStopping, this->options.retry_after_stopping),
-        now, actions);
-    return true;
-  }
-  if (route.fan_out()) {
-    progress.shards.resize(route.shards.size());
-    for (std::size_t i = 0; i < route.shards.size(); ++i) {
-      progress.shards[i].service = route.shards[i];
-    }
-  } else {
-    WeightedRoundRobin& target_picker =
-        this->target_pickers.try_emplace(route.name, this->random.Next()).first->second;
-    progress.shards.resize(1);
-    progress.shards[0].service = route.targets[target_picker.Pick(route.targets)].service;
-  }
-  std::size_t servable_shards = 0;
-  Duration longest_block{};
-  for (Shard& shard : progress.shards) {
-    shard.service_hash = StableHash(shard.service.value);
-    const Duration block_time_left =
-        this->call_crash_guard.GetBlockTimeLeft(progress.call.fingerprint, shard.service_hash, now);
-    longest_block = std::max(longest_block, block_time_left);
-    servable_shards +=
-        block_time_left > Duration::zero() || this->FindCandidates(shard, now).empty() ? 0 : 1;
-  }
-  if (servable_shards >= std::max<std::size_t>(1, CountRequiredShards(progress))) {
-    return false;
-  }
-  if (longest_block > Duration::zero()) {
-    this->Finish(id, progress,
-                 this->BuildRefusal(progress, AnswerReason::kCrashesLeaves, longest_block), now,
-                 actions);
-    return true;
-  }
-  this->Finish(id, progress,
-               this->BuildRefusal(progress, AnswerReason::kNoLeaf,
-                                  this->ComputeTimeUntilServable(progress, now)),
-               now, actions);
-  return true;
-}
-
-bool Coordinator::HasTimeBeforeStop(const Route& route, TimePoint now) {
-  if (this->stop_ends_at == TimePoint::max()) {
-    return true;
-  }
-  const auto usual_time = Duration(
-      static_cast<Duration::rep>(this->options.stop_latency_factor *
-                                 static_cast<double>(this->EstimateTypicalLatency(route).count())));
-  return now + std::min(route.objective, usual_time) < this->stop_ends_at;
-}
-
-std::optional<TimePoint> Coordinator::FindEarliestBackoffEnd(const Shard& shard,
-                                                             TimePoint now) const {
-  std::optional<TimePoint> earliest;
-  for (const LeafEntry* leaf : this->directory.UsableLeaves(shard.service)) {
-    const auto backoff_end = this->leaf_notices.GetBackoffEnd(*leaf, now);
-    if (backoff_end && !this->leaf_notices.IsLeaving(*leaf) &&
-        !this->leaf_tracker.IsMisplaced(*leaf)) {
-      earliest = std::min(earliest.value_or(*backoff_end), *backoff_end);
-    }
-  }
-  return earliest;
-}
-
-Duration Coordinator::ComputeTimeUntilServable(const CallProgress& progress, TimePoint now) const {
-  std::vector<Duration> waits;
-  for (const Shard& shard : progress.shards) {
-    const auto usable_leaves = this->directory.UsableLeaves(shard.service);
-    const bool has_accepting_leaf =
-        std::any_of(usable_leaves.begin(), usable_leaves.end(), [&](const LeafEntry* leaf) {
-          return !this->leaf_tracker.IsMisplaced(*leaf) &&
-                 !this->leaf_notices.RefusesRequests(*leaf, now);
-        });
-    const std::optional<TimePoint> earliest_backoff_end = this->FindEarliestBackoffEnd(shard, now);
-    waits.push_back(has_accepting_leaf     ? Duration::zero()
-                    : earliest_backoff_end ? *earliest_backoff_end - now
-                                           : this->options.retry_after_no_leaf);
-  }
-  const auto last_needed =
-      waits.begin() +
-      static_cast<std::ptrdiff_t>(
-          std::clamp<std::size_t>(CountRequiredShards(progress), 1, waits.size()) - 1);
-  std::nth_element(waits.begin(), last_needed, waits.end());
-  return *last_needed;
-}
-
-std::vector<const LeafEntry*> Coordinator::FindCandidates(const Shard& shard, TimePoint now) const {
-  std::vector<const LeafEntry*> candidates = this->directory.UsableLeaves(shard.service);
-  std::erase_if(candidates, [&](const LeafEntry* leaf) {
-    return this->leaf_tracker.IsMisplaced(*leaf) ||
-           this->leaf_notices.RefusesRequests(*leaf, now) ||
-           std::find(shard.tried_leaves.begin(), shard.tried_leaves.end(), leaf->id) !=
-               shard.tried_leaves.end();
-  });
-  return candidates;
-}
-
 void Coordinator::StartShard(CallId id,
                              CallProgress& progress,
                              Shard& shard,
@@ -229,26 +106,14 @@
     shard.tried_leaves.clear();
     candidates = this->FindCandidates(shard, now);
   }
-  const bool may_send = !candidates.empty() && shard.total_attempts < kSendLimit;
-  double warm_up_rate = 0;
-  if (const auto found = progress.route_table->services.find(shard.service);
-      found != progress.route_table->services.end()) {
-    warm_up_rate = found->second.warm_up_rate;
-  }
-  const LeafEntry* leaf = nullptr;
-  while (may_send && !candidates.empty()) {
-    leaf = this->leaf_tracker.Choose(candidates, typical_latency, now, route.objective);
-    const bool at_connection_limit =
-        this->leaf_tracker.CountInFlight(leaf->id) >= this->ComputeConnectionLimit(progress, *leaf);
-    if (!at_connection_limit && this->leaf_tracker.TryTakeWarmUpToken(
-                                    *leaf, warm_up_rate, this->CountSenders(progress), now)) {
-      break;
-    }
-    std::erase(candidates, leaf);
-    leaf = nullptr;
+  LeafChoice choice;
+  if (shard.total_attempts < kSendLimit) {
+    choice = this->ChooseLeaf(progress, shard, std::move(candidates), is_extra, now);
   }
+  const LeafEntry* leaf = choice.leaf;
   if (leaf == nullptr) {
     if (!is_extra) {
+      const bool leaves_busy = choice.obstacle == SendObstacle::kLeavesBusy;
       // The shard may wait for a leaf that accepts requests again early enough to reply in time.
       const std::optional<TimePoint> earliest_backoff_end =
           this->FindEarliestBackoffEnd(shard, now);
@@ -258,11 +123,12 @@
       if (backoff_ends_in_time) {
         shard.tried_leaves.clear();
       }
-      shard.state = may_send || backoff_ends_in_time ? ShardState::kWaiting : ShardState::kFailed;
-      shard.retry_at =
-          may_send ? now + this->options.busy_retry_interval : earliest_backoff_end.value_or(now);
+      shard.state =
+          leaves_busy || backoff_ends_in_time ? ShardState::kWaiting : ShardState::kFailed;
+      shard.retry_at = leaves_busy ? now + this->options.busy_retry_interval
+                                   : earliest_backoff_end.value_or(now);
     }
-    AddEventOnce(progress, now, may_send ? "leaves_busy" : "no_leaf", shard, {});
+    AddEventOnce(progress, now, ToName(kSendObstacleNames, choice.obstacle), shard, {});
     return false;
   }
   // If another VM may have sent the call already, the first send is charged as an extra attempt.
@@ -277,6 +143,8 @@
     AddEventOnce(progress, now, "no_budget", shard, leaf->id);
     return false;
   }
+  this->leaf_limits.TakeToken(HashLeafRun(leaf->id, leaf->started), ComputeUrgency(route, is_extra),
+                              now);
   const AttemptId attempt = ++this->last_attempt_id;
   this->shards_by_attempt[attempt] = {id,
                                       static_cast<std::size_t>(&shard - progress.shards.data())};
@@ -310,6 +178,44 @@
   return true;
 }
 
+Coordinator::LeafChoice Coordinator::ChooseLeaf(const CallProgress& progress,
+                                                const Shard& shard,
+                                                std::vector<const LeafEntry*> candidates,
+                                                bool is_extra,
+                                                TimePoint now) {
+  const Route& route = *progress.route;
+  const int urgency = ComputeUrgency(route, is_extra);
+  double warm_up_rate = 0;
+  if (const auto found = progress.route_table->services.find(shard.service);
+      found != progress.route_table->services.end()) {
+    warm_up_rate = found->second.warm_up_rate;
+  }
+  LeafChoice choice;
+  while (!candidates.empty()) {
+    const LeafEntry* leaf = this->leaf_tracker.Choose(
+        candidates, this->EstimateTypicalLatency(route), now, route.objective);
+    const LeafRun run = HashLeafRun(leaf->id, leaf->started);
+    if (!this->leaf_limits.CanSend(run, urgency, now)) {
+      if (!is_extra) {
+        this->leaf_limits.RecordDenial(run, urgency, now);
+      }
+      if (choice.obstacle == SendObstacle::kNoLeaf) {
+        choice.obstacle = SendObstacle::kLeafLimit;
+      }
+    } else if (this->leaf_tracker.CountInFlight(leaf->id) <
+                   this->ComputeConnectionLimit(progress, *leaf) &&
+               this->leaf_tracker.TryTakeWarmUpToken(*leaf, warm_up_rate,
+                                                     this->CountSenders(progress), now)) {
+      choice.leaf = leaf;
+      return choice;
+    } else {
+      choice.obstacle = SendObstacle::kLeavesBusy;
+    }
+    std::erase(candidates, leaf);
+  }
+  return choice;
+}
+
 std::size_t Coordinator::ComputeConnectionLimit(const CallProgress& progress,
                                                 const LeafEntry& leaf) const {
   const auto found = progress.route_table->services.find(leaf.service);
@@ -321,16 +227,6 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
-std::size_t Coordinator::CountRequiredShards(const CallProgress& progress) {
-  if (!progress.route->fan_out()) {
-    return 1;
-  }
-  constexpr double kRoundingTolerance = 1e-9;
-  return static_cast<std::size_t>(
-      std::ceil(progress.route->min_coverage * static_cast<double>(progress.shards.size()) -
-                kRoundingTolerance));
-}
-
 Duration Coordinator::ComputeHedgeDelay(const Route& route) {
   const auto scale = [](Duration duration, double factor) {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
--- a/src/dispatch/coordinator_answers.cc
+++ b/src/dispatch/coordinator_answers.cc
@@ -122,6 +122,8 @@
       this->shards_by_attempt.erase(running_attempt.id);
       this->leaf_tracker.RecordCancellation(running_attempt.id, now);
       if (withdrawn) {
+        this->leaf_limits.ReturnToken(
+            HashLeafRun(running_attempt.leaf, running_attempt.leaf_started), now);
         continue;
       }
       actions.push_back(CancelAction{
@@ -172,11 +174,11 @@
   if (progress.refused_by_leaf) {
     return this->BuildRefusal(progress, AnswerReason::kOverload,
                               std::max(2 * this->EstimateTypicalLatency(*progress.route),
-                                       this->ComputeTimeUntilServable(progress, now)));
+                                       this->FindTimeUntilServable(progress, now).duration));
   }
-  return this->BuildRefusal(
-      progress, reason,
-      std::max(this->options.retry_after_no_leaf, this->ComputeTimeUntilServable(progress, now)));
+  return this->BuildRefusal(progress, reason,
+                            std::max(this->options.retry_after_no_leaf,
+                                     this->FindTimeUntilServable(progress, now).duration));
 }
 
 Answer Coordinator::BuildRefusal(const CallProgress& progress,
@@ -186,10 +188,12 @@
     return {.kind = AnswerKind::kFailed, .reason = reason};
   }
   // Without jitter, callers that were refused at the same moment would retry at the same moment.
+  // LeafLimits gives each caller a time of its own.
   constexpr double kRetryAfterJitterShare = 0.3;
+  const double jitter_share = reason == AnswerReason::kLeafLimit ? 0 : kRetryAfterJitterShare;
   return {.kind = AnswerKind::kRefused,
           .reason = reason,
-          .retry_after = this->random.ApplyJitter(retry_after, kRetryAfterJitterShare)};
+          .retry_after = this->random.ApplyJitter(retry_after, jitter_share)};
 }
 
 }  // namespace ibishold
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -69,6 +69,9 @@
   if (reply.retry_after) {
     this->leaf_notices.RecordBackoff(leaf, started, *reply.retry_after, now);
   }
+  if (reply.rate_limit) {
+    this->leaf_limits.RecordLimit(HashLeafRun(leaf, started), *reply.rate_limit, now);
+  }
 }
 
 void Coordinator::OnReply(AttemptId attempt, LeafReply reply, TimePoint now, Actions& actions) {
@@ -81,6 +84,11 @@
   const std::optional<Attempt> ended_attempt = this->RemoveAttempt(attempt, *shard);
   const Route& route = *progress->route;
   this->OnLeafNotice(ended_attempt->leaf, ended_attempt->leaf_started, reply, now);
+  // Only replies that are certainly from the leaf show that it states no limit.
+  if (!reply.rate_limit && !reply.wrong_leaf && (reply.not_run || !reply.signature.empty())) {
+    this->leaf_limits.RecordNoLimit(HashLeafRun(ended_attempt->leaf, ended_attempt->leaf_started),
+                                    ended_attempt->started_at, now);
+  }
   if (reply.wrong_leaf) {
     if (const LeafEntry* leaf = this->directory.Find(ended_attempt->leaf)) {
       this->leaf_tracker.MarkMisplaced(leaf->id, leaf->revision);
@@ -151,6 +159,8 @@
   AddEvent(*progress, now, ToName(kAttemptFailureNames, failure), *shard, ended_attempt->leaf);
   if (not_run) {
     --shard->counted_attempts;
+    this->leaf_limits.ReturnToken(HashLeafRun(ended_attempt->leaf, ended_attempt->leaf_started),
+                                  now);
   } else {
     progress->may_have_run = true;
     if (failure == AttemptFailure::kBroken) {
@@ -159,7 +169,7 @@
            .part = GetCallPart(*progress->route),
            .request = StableHash(progress->call.request_id),
            .service = shard->service_hash,
-           .leaf = StableHash(ended_attempt->leaf.value, ended_attempt->leaf_started)},
+           .leaf = HashLeafRun(ended_attempt->leaf, ended_attempt->leaf_started)},
           now);
     }
   }
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -2,6 +2,7 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 
 #include "ibishold/fleet.h"
@@ -37,6 +38,7 @@
 
 constexpr double kMillisPerUnit = 1000;  // scale of PeerFact.processorMillis
 constexpr double kTenthsPerUnit = 10;    // scale of PeerFact.fanOutTenths
+constexpr double kNoRate = -1;           // LeafLimit.perSecond if the leaf states no limit
 
 std::uint32_t Milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(
@@ -130,6 +132,12 @@
     crashes[i].setLeaf(message.crashes[i].leaf);
     crashes[i].setAgeMs(Milliseconds(message.crashes[i].age));
   }
+  auto limits = root.initLimits(static_cast<unsigned>(message.limits.size()));
+  for (unsigned i = 0; i < message.limits.size(); ++i) {
+    limits[i].setLeaf(message.limits[i].leaf);
+    limits[i].setPerSecond(static_cast<float>(message.limits[i].rate.value_or(kNoRate)));
+    limits[i].setAgeMs(Milliseconds(message.limits[i].age));
+  }
   root.setDocumentsAsOf(message.documents_as_of);
   auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
   for (unsigned i = 0; i < message.silent_leaves.size(); ++i) {
@@ -178,6 +186,14 @@
                                  .leaf = crash.getLeaf(),
                                  .age = std::chrono::milliseconds(crash.getAgeMs())});
     }
+    for (const auto limit : root.getLimits()) {
+      const double rate = limit.getPerSecond();
+      if (std::isfinite(rate)) {
+        message.limits.push_back({.leaf = limit.getLeaf(),
+                                  .rate = rate < 0 ? std::nullopt : std::optional(rate),
+                                  .age = std::chrono::milliseconds(limit.getAgeMs())});
+      }
+    }
   });
   return read ? std::optional<GossipMessage>(std::move(message)) : std::nullopt;
 }
--- a/src/fleet/peer_table.cc
+++ b/src/fleet/peer_table.cc
@@ -112,11 +112,13 @@
   return found != this->peers.end() && found->second.suspect_until > now;
 }
 
+Duration PeerTable::ComputeLossTimeout() const {
+  return this->options.loss_timeout +
+         this->options.loss_timeout_per_peer * static_cast<std::int64_t>(this->peers.size());
+}
+
 bool PeerTable::live(const PeerRecord& record, TimePoint now) const {
-  const Duration timeout =
-      this->options.loss_timeout +
-      this->options.loss_timeout_per_peer * static_cast<std::int64_t>(this->peers.size());
-  return now - record.stated_at < timeout;
+  return now - record.stated_at < this->ComputeLossTimeout();
 }
 
 std::vector<Peer> PeerTable::UsablePeers(TimePoint now) const {
@@ -137,4 +139,32 @@
                                [&](const auto& item) { return this->live(item.second, now); }));
 }
 
+std::vector<PeerAddress> PeerTable::WorkingPeers(TimePoint now) const {
+  std::vector<PeerAddress> working;
+  if (!this->self_peer.stopping) {
+    working.push_back(this->self_peer.address);
+  }
+  for (const auto& [address, record] : this->peers) {
+    if (this->live(record, now) && !record.peer.stopping) {
+      working.push_back(address);
+    }
+  }
+  std::sort(working.begin(), working.end());
+  return working;
+}
+
+double PeerTable::ComputeReach(TimePoint now) const {
+  const Duration window = this->ComputeLossTimeout() + this->options.reach_window;
+  double live_count = 1;
+  double recent_count = 1;
+  for (const auto& [address, record] : this->peers) {
+    if (record.peer.stopping) {
+      continue;
+    }
+    live_count += this->live(record, now) ? 1 : 0;
+    recent_count += now - record.stated_at < window ? 1 : 0;
+  }
+  return live_count / recent_count;
+}
+
 }  // namespace ibishold
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -42,12 +42,12 @@
     call.external_latency += this->caller_path.EstimateTransferTime(*route);
   }
   const TimePoint now = BootClock::now();
-  if (route == nullptr || !route->fan_out() || !this->coordinator.HasTimeBeforeStop(*route, now)) {
+  if (route == nullptr || !this->coordinator.HasTimeBeforeStop(*route, now)) {
     this->RunCall(this->callers, ticket, std::move(request), std::move(call));
     return;
   }
-  ++this->fan_out_calls_in_window;
-  if (this->plan.self_coordinates || !this->hand_over.has_coordinators()) {
+  this->fan_out_calls_in_window += route->fan_out() ? 1 : 0;
+  if (!this->NeedsCoordinator(*route, now)) {
     this->RunCall(this->callers, ticket, std::move(request), std::move(call));
     return;
   }
@@ -61,10 +61,19 @@
   this->handed_over_calls.emplace(ticket, HandedOverCall{.request = std::move(request),
                                                          .call = std::move(call),
                                                          .route = route->name,
+                                                         .repeatable = route->repeatable,
                                                          .arrived = now});
   this->ExecuteHandOver(std::move(actions));
 }
 
+// True if another VM must coordinate a call on this route: it fans out, or the limits of its leaves
+// are shared among the coordinators.
+template <PlatformTranslation Platform>
+bool Node<Platform>::NeedsCoordinator(const Route& route, TimePoint now) {
+  return !this->plan.self_coordinates && this->hand_over.has_coordinators() &&
+         (route.fan_out() || this->coordinator.LacksLimitShare(route, now));
+}
+
 template <PlatformTranslation Platform>
 void Node<Platform>::RunCall(CallerPort& port,
                              std::uint64_t ticket,
--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -46,6 +46,12 @@
   for (const LeafCrash& crash : message.crashes) {
     this->coordinator.crash_guard().RecordPeerCrash(crash, now);
   }
+  for (LeafLimitReport limit : message.limits) {
+    limit.age += this->pause_detector.EstimateWait(now);
+    if (this->coordinator.limits().RecordPeerReport(limit, now)) {
+      this->LogLeafLimit(limit, FormatAddress(from));
+    }
+  }
   for (const SilentLeaf& silent_leaf : message.silent_leaves) {
     if (this->directory.Find(silent_leaf.leaf) != nullptr) {
       this->coordinator.tracker().RecordPeerSilence(silent_leaf, now);
@@ -117,6 +123,7 @@
       message.leaving_leaves.push_back(notice.leaf);
     }
   }
+  this->SendLimitReports(this->coordinator.limits().TakeReports(BootClock::now()));
   if (message.silent_leaves.empty() && message.leaving_leaves.empty() && message.crashes.empty()) {
     return;
   }
@@ -144,6 +151,49 @@
   }
 }
 
+// Tells other VMs what leaves have newly stated to this one. Any VM may send to these leaves, and
+// the coordinators send most.
+template <PlatformTranslation Platform>
+void Node<Platform>::SendLimitReports(const std::vector<LeafLimitReport>& reports) {
+  if (reports.empty()) {
+    return;
+  }
+  for (const LeafLimitReport& report : reports) {
+    this->LogLeafLimit(report, "self");
+  }
+  std::vector<PeerAddress> targets = this->PickRandomPeers(this->options.leaf_report_targets);
+  if (!this->plan.direct) {
+    const std::vector<PeerAddress> coordinators = this->PickLeafReportTargets();
+    targets.insert(targets.end(), coordinators.begin(), coordinators.end());
+  }
+  this->SendLeafReports({.limits = reports}, targets);
+}
+
+template <PlatformTranslation Platform>
+void Node<Platform>::LogLeafLimit(const LeafLimitReport& report, const std::string& seen_by) {
+  std::string leaf = absl::StrCat(absl::Hex(report.leaf));
+  this->directory.ForEach([&](const LeafEntry& entry) {
+    if (HashLeafRun(entry.id, entry.started) == report.leaf) {
+      leaf = entry.id.value;
+    }
+  });
+  this->log.Write("leaf_notice", {{"leaf", std::move(leaf)},
+                                  {"notice", report.rate ? "rate_limit" : "rate_limit_ended"},
+                                  {"per_s", absl::StrFormat("%.2f", report.rate.value_or(0))},
+                                  {"age_ms", FormatMilliseconds(report.age)},
+                                  {"seen_by", seen_by}});
+}
+
+// Passes on the limits of leaves that this VM has just learned of from peers.
+template <PlatformTranslation Platform>
+void Node<Platform>::ForwardLimitNews() {
+  std::vector<LeafLimitReport> news = this->coordinator.limits().TakeNews(BootClock::now());
+  if (!news.empty()) {
+    this->SendLeafReports({.limits = std::move(news)},
+                          this->PickRandomPeers(this->options.news_targets));
+  }
+}
+
 // Passes on what this VM has just learned about calls that crash leaves.
 template <PlatformTranslation Platform>
 void Node<Platform>::ForwardCrashNews() {
@@ -157,7 +207,7 @@
                                      {"left_ms", FormatMilliseconds(refusal.time_left)}});
   }
   this->SendLeafReports({.refusals = std::move(news.refusals), .crashes = std::move(news.crashes)},
-                        this->PickRandomPeers(this->options.crash_news_targets));
+                        this->PickRandomPeers(this->options.news_targets));
 }
 
 // Sends reports about leaves right away, outside the regular gossip. Entries that don't fit into
@@ -171,6 +221,7 @@
   limit_size(message.leaving_leaves, this->options.max_leaving_leaves);
   KeepRandom(message.crashes, this->options.max_crashes, this->random);
   KeepRandom(message.refusals, this->options.max_refusals, this->random);
+  KeepRandom(message.limits, this->options.max_limits, this->random);
   limit_size(message.silent_leaves, message.crashes.empty() && message.leaving_leaves.empty()
                                         ? this->options.max_silent_leaves
                                         : this->options.max_silent_leaves / 2);
@@ -187,10 +238,12 @@
   this->SendMessage(message, targets);
   std::vector<LeavingLeaf> leaving = this->coordinator.notices().ListLeavingLeaves(now);
   CrashNews news = this->coordinator.crash_guard().ListNews(now);
-  if (!leaving.empty() || !news.empty()) {
+  std::vector<LeafLimitReport> limits = this->coordinator.limits().ListReports(now);
+  if (!leaving.empty() || !news.empty() || !limits.empty()) {
     this->SendLeafReports({.refusals = std::move(news.refusals),
                            .leaving_leaves = std::move(leaving),
-                           .crashes = std::move(news.crashes)},
+                           .crashes = std::move(news.crashes),
+                           .limits = std::move(limits)},
                           targets);
   }
 }
@@ -254,9 +307,24 @@
   }
   this->plan = std::move(next);
   this->coordinator.SetSenderCounts(this->plan.senders, this->plan.vms);
+  this->UpdateLimitSenders(now);
   this->hand_over.SetCoordinators(this->plan.coordinators, this->plan.local_coordinator_count);
 }
 
+// In a large fleet the coordinators share the limits of leaves, else all VMs.
+template <PlatformTranslation Platform>
+void Node<Platform>::UpdateLimitSenders(TimePoint now) {
+  const auto hash = [](const PeerAddress& address) { return StableHash(FormatAddress(address)); };
+  const std::vector<PeerAddress> vms =
+      this->plan.direct ? this->peer_table.WorkingPeers(now) : this->plan.coordinators;
+  LimitSenders senders = {.self = hash(this->own_address())};
+  std::transform(vms.begin(), vms.end(), std::back_inserter(senders.vms), hash);
+  // A VM that has just started does not know yet how many others send.
+  const bool peers_known = now - this->started_at > this->options.peers.startup_duration;
+  senders.reach = peers_known ? this->peer_table.ComputeReach(now) : 0;
+  this->coordinator.SetLimitSenders(std::move(senders), now);
+}
+
 }  // namespace ibishold
 
 #endif  // SRC_NODE_NODE_GOSSIP_H_
--- a/src/node/node_lifecycle.h
+++ b/src/node/node_lifecycle.h
@@ -277,6 +277,7 @@
 template <PlatformTranslation Platform>
 void Node<Platform>::Tick() {
   const TimePoint now = BootClock::now();
+  this->pause_detector.OnTick(now);
   const std::vector<DirectoryEvent> expired = this->directory.ApplyDeferredRemovals(now);
   for (const DirectoryEvent& event : expired) {
     this->coordinator.tracker().Forget(event.leaf);
@@ -287,6 +288,7 @@
   }
   this->AnswerDocumentRequests(false);
   this->ForwardCrashNews();
+  this->ForwardLimitNews();
   if (this->feed.ShouldAbandonCall(this->mirror.as_of(), now)) {
     this->FailFeedRequest("another VM knows newer documents");
   }
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -92,7 +92,7 @@
                             ",", cost ? std::to_string(ToMicroseconds(*cost)) : "")});
       this->peer_pool.Send({.attempt = action.attempt,
                             .leaf = MakePeerEntry(action.coordinator),
-                            .repeatable = true,
+                            .repeatable = handed_over_call.repeatable,
                             .connection_limit = kPeerConnections},
                            std::move(request));
     } else if (action.step == HandOverStep::kProbe) {
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -21,7 +21,8 @@
                    .request = 2,
                    .service = 3,
                    .leaf = 4,
-                   .age = std::chrono::milliseconds(50)}}};
+                   .age = std::chrono::milliseconds(50)}},
+      .limits = {{.leaf = 8, .rate = 2.5, .age = std::chrono::milliseconds(70)}, {.leaf = 9}}};
   const std::string bytes = EncodeGossip(gossip);
   SUBCASE("a decoded gossip message equals the encoded one") {
     const auto read = DecodeGossip(bytes);
@@ -46,6 +47,12 @@
     CHECK(read->crashes[0].request == 2);
     CHECK(read->crashes[0].leaf == 4);
     CHECK(read->crashes[0].age == std::chrono::milliseconds(50));
+    REQUIRE(read->limits.size() == 2);
+    CHECK(read->limits[0].leaf == 8);
+    CHECK(read->limits[0].rate == 2.5);
+    CHECK(read->limits[0].age == std::chrono::milliseconds(70));
+    CHECK(read->limits[1].leaf == 9);
+    CHECK_FALSE(read->limits[1].rate.has_value());
   }
   SUBCASE("a full sample of peers fits into one unfragmented datagram") {
     gossip.peers.assign(PeerTableOptions{}.reports_per_message, gossip.peers[0]);
@@ -53,6 +60,7 @@
     gossip.silent_leaves.clear();
     gossip.leaving_leaves.clear();
     gossip.crashes.clear();
+    gossip.limits.clear();  // sent in messages of their own
     for (PeerReport& report : gossip.peers) {
       report.peer.data_centre = DataCentre("shymkent-a");
     }
@@ -61,16 +69,18 @@
   SUBCASE("leaf notices fit into one unfragmented datagram") {
     gossip.peers.clear();
     gossip.refusals.clear();
+    gossip.limits.clear();
     gossip.silent_leaves.assign(12, {.leaf = LeafId("i-0123456789abcdef")});
     gossip.leaving_leaves.assign(8, {.leaf = LeafId("i-0123456789abcdef")});
     gossip.crashes.assign(12, gossip.crashes[0]);
     CHECK(EncodeGossip(gossip).size() <= 1472);
   }
-  SUBCASE("news of calls that crash leaves fits into one unfragmented datagram") {
+  SUBCASE("news of calls that crash leaves, and limits, fit into one unfragmented datagram") {
     gossip.peers.clear();
     gossip.silent_leaves.clear();
     gossip.refusals.assign(8, gossip.refusals[0]);
     gossip.leaving_leaves.assign(8, {.leaf = LeafId("i-0123456789abcdef")});
+    gossip.limits.assign(8, gossip.limits[0]);
     gossip.crashes.assign(12, gossip.crashes[0]);
     CHECK(EncodeGossip(gossip).size() <= 1472);
   }
--- a/tests/fleet/peer_table_test.cc
+++ b/tests/fleet/peer_table_test.cc
@@ -145,6 +145,40 @@
   }
 }
 
+// Guards against parts of a divided fleet that each share limits among their own VMs only.
+TEST_CASE("the share of the fleet that a VM is in contact with") {
+  GossipFleet fleet(13);
+  fleet.Run(std::chrono::seconds(4));
+  const PeerTable& table = *fleet.tables[GossipFleet::AddressOf(5)];
+  CHECK(table.ComputeReach(fleet.now) == 1);
+  CHECK(table.WorkingPeers(fleet.now).size() == 13);
+  SUBCASE("falls when VMs are lost") {
+    fleet.Stop(7);
+    fleet.Stop(8);
+    fleet.Run(std::chrono::seconds(8));
+    CHECK(table.ComputeReach(fleet.now) == doctest::Approx(11.0 / 13));
+    CHECK(table.WorkingPeers(fleet.now).size() == 11);
+    SUBCASE("and rises when they return") {
+      fleet.Start(7, 2);
+      fleet.Start(8, 2);
+      fleet.Run(std::chrono::seconds(3));
+      CHECK(table.ComputeReach(fleet.now) == 1);
+    }
+    SUBCASE("and when they stay away for over a minute") {
+      fleet.Run(std::chrono::seconds(70));
+      CHECK(table.ComputeReach(fleet.now) == 1);
+    }
+  }
+  SUBCASE("does not count VMs that shut down") {
+    fleet.tables[GossipFleet::AddressOf(7)]->self().stopping = true;
+    fleet.Run(std::chrono::seconds(3));
+    CHECK(table.WorkingPeers(fleet.now).size() == 12);
+    fleet.Stop(7);
+    fleet.Run(std::chrono::seconds(8));
+    CHECK(table.ComputeReach(fleet.now) == 1);
+  }
+}
+
 TEST_CASE("a suspected peer is left out until the suspicion expires or the peer restarts") {
   const TimePoint now = TimePoint() + std::chrono::hours(1);
   PeerTable table({}, {.address = {.ip = 1, .port = 1}}, {}, 1, now);
--- a/tests/native/headers_test.cc
+++ b/tests/native/headers_test.cc
@@ -71,6 +71,19 @@
     CHECK_FALSE(after(503, "soon").has_value());
     CHECK(after(503, "1e300") == std::chrono::hours(24));
   }
+  SUBCASE("the limit of a leaf's request rate is read with any status") {
+    const auto limit = [](int status, const char* text) {
+      return DecodeLeafReply({.status = status, .headers = {{"Server-Limit", text}}}).rate_limit;
+    };
+    CHECK(limit(200, "27.1") == 27.1);
+    CHECK(limit(503, " 2 ") == 2.0);
+    CHECK(limit(500, "0") == 0.0);
+    CHECK_FALSE(limit(200, "").has_value());
+    CHECK_FALSE(limit(200, "-1").has_value());
+    CHECK_FALSE(limit(200, "inf").has_value());
+    CHECK_FALSE(limit(200, "nan").has_value());
+    CHECK_FALSE(limit(200, "2/s").has_value());
+  }
   SUBCASE("FindReplyOwner compares the request id that the leaf echoes") {
     const HttpReply named = {.status = 200, .headers = {{"X-Ibishold-Request-Id", "id1"}}};
     CHECK(FindReplyOwner(named, "id1") == ReplyMatch::kMatches);
