Leave every fourth request of a limit to less urgent calls

Cause: urgent calls took precedence without end.

Change: after three more urgent requests in a row, the next one is a less urgent one, unless a larger part of the less urgent ones has been sent. Retries after a failure now rank with first requests; only hedges come after them, and they are not counted as denied.

--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -143,6 +143,7 @@
   LeafTracker& tracker() { return this->leaf_tracker; }
   LeafNotices& notices() { return this->leaf_notices; }
   LeafLimits& limits() { return this->leaf_limits; }
+  const LeafLimits& limits() const { return this->leaf_limits; }
   CrashGuard& crash_guard() { return this->call_crash_guard; }
 
  private:
@@ -237,11 +238,11 @@
   LeafChoice ChooseLeaf(const CallProgress& progress,
                         const Shard& shard,
                         std::vector<const LeafEntry*> candidates,
-                        bool is_extra,
+                        bool is_hedge,
                         TimePoint now);
-  // Rank of a request among those that share a leaf's limit; lower is more urgent. Hedges and
-  // retries come after the first requests of calls with the same priority.
-  static int ComputeUrgency(const Route& route, bool is_extra);
+  // Rank of a request among those that share a leaf's limit; lower is more urgent. Hedges come
+  // after other requests of calls with the same priority.
+  static int ComputeUrgency(const Route& route, bool is_hedge);
   // True if one of the leaves has no limit, or this VM may send it a request now.
   bool IsWithinLimits(const std::vector<const LeafEntry*>& leaves, int urgency, TimePoint now);
   void RefuseForLimits(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
--- a/include/ibishold/leaf_limits.h
+++ b/include/ibishold/leaf_limits.h
@@ -56,6 +56,9 @@
   // After a request was denied, less urgent ones get none until this many requests have accrued, or
   // until precedence_time is over.
   double precedence_requests = 2;
+  // After this many requests in a row that were more urgent, the next one is a less urgent one,
+  // unless a larger part of these than of the more urgent ones has been sent.
+  int max_overtakes = 3;
   Duration max_return_wait = std::chrono::seconds(5);  // longest time told to a refused caller
   std::size_t max_leaves = 4096;  // a further leaf evicts the one with the oldest statement
 };
@@ -115,6 +118,12 @@
     int urgency = 0;
     TimePoint at{};
   };
+  // Recent requests of one urgency; the numbers halve every precedence_time.
+  struct Demand {
+    double asked = 0;
+    double sent = 0;
+    TimePoint updated_at{};
+  };
   struct Limit {
     std::optional<double> rate;  // nothing: the limit has ended
     TimePoint stated_at{};
@@ -125,6 +134,9 @@
     TimePoint tokens_at{};
     UrgentRequest asked;   // the most urgent of the recent requests, sent or denied
     UrgentRequest denied;  // the most urgent of those that were denied
+    Demand urgent_demand;  // as urgent as `asked`
+    Demand other_demand;   // less urgent
+    int overtakes = 0;     // urgent requests sent since the last less urgent one
     TimePoint reported_at{};
     TimePoint returns_until{};  // up to this time, tokens are promised to callers that return
   };
@@ -135,11 +147,16 @@
   // Applies a statement that is newer than the known one. Returns true if it is a change.
   bool Apply(LeafRun leaf, std::optional<double> rate, TimePoint stated_at, TimePoint now);
   void UpdateTokens(LeafRun leaf, Limit& limit, TimePoint now) const;
+  // True if more urgent requests than this one take precedence.
+  bool IsLessUrgent(const Limit& limit, int urgency, TimePoint now) const;
+  // True if the next request should be one of the less urgent ones.
+  bool IsTurnOfOthers(const Limit& limit, TimePoint now) const;
   // Returns the number of tokens that a request needs at this time.
   double ComputeNeededTokens(const Limit& limit, int urgency, TimePoint now) const;
-  // Returns the end of the time in which less urgent requests give way to the denied one.
-  TimePoint FindPrecedenceEnd(const Limit& limit, int urgency) const;
-  void KeepMostUrgent(UrgentRequest& kept, int urgency, TimePoint now) const;
+  // Returns the end of the time in which this request gives way to a more urgent one that was
+  // denied.
+  TimePoint FindPrecedenceEnd(const Limit& limit, int urgency, TimePoint now) const;
+  void RecordDemand(Limit& limit, int urgency, bool is_sent, TimePoint now) const;
   void UpdateShare(LeafRun leaf, Limit& limit) const;
   std::size_t CountVmsBefore(LeafRun leaf) const;
   double ComputeFleetRate(const Limit& limit) const;
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -106,9 +106,10 @@
     shard.tried_leaves.clear();
     candidates = this->FindCandidates(shard, now);
   }
+  const bool is_hedge = is_extra && !shard.running_attempts.empty();
   LeafChoice choice;
   if (shard.total_attempts < kSendLimit) {
-    choice = this->ChooseLeaf(progress, shard, std::move(candidates), is_extra, now);
+    choice = this->ChooseLeaf(progress, shard, std::move(candidates), is_hedge, now);
   }
   const LeafEntry* leaf = choice.leaf;
   if (leaf == nullptr) {
@@ -143,7 +144,7 @@
     AddEventOnce(progress, now, "no_budget", shard, leaf->id);
     return false;
   }
-  this->leaf_limits.TakeToken(HashLeafRun(leaf->id, leaf->started), ComputeUrgency(route, is_extra),
+  this->leaf_limits.TakeToken(HashLeafRun(leaf->id, leaf->started), ComputeUrgency(route, is_hedge),
                               now);
   const AttemptId attempt = ++this->last_attempt_id;
   this->shards_by_attempt[attempt] = {id,
@@ -181,10 +182,10 @@
 Coordinator::LeafChoice Coordinator::ChooseLeaf(const CallProgress& progress,
                                                 const Shard& shard,
                                                 std::vector<const LeafEntry*> candidates,
-                                                bool is_extra,
+                                                bool is_hedge,
                                                 TimePoint now) {
   const Route& route = *progress.route;
-  const int urgency = ComputeUrgency(route, is_extra);
+  const int urgency = ComputeUrgency(route, is_hedge);
   double warm_up_rate = 0;
   if (const auto found = progress.route_table->services.find(shard.service);
       found != progress.route_table->services.end()) {
@@ -196,7 +197,7 @@
         candidates, this->EstimateTypicalLatency(route), now, route.objective);
     const LeafRun run = HashLeafRun(leaf->id, leaf->started);
     if (!this->leaf_limits.CanSend(run, urgency, now)) {
-      if (!is_extra) {
+      if (!is_hedge) {
         this->leaf_limits.RecordDenial(run, urgency, now);
       }
       if (choice.obstacle == SendObstacle::kNoLeaf) {
--- a/src/dispatch/coordinator_admission.cc
+++ b/src/dispatch/coordinator_admission.cc
@@ -89,8 +89,7 @@
   return true;
 }
 
-// Refuses the call before anything is sent, so that it uses no part of the limits. The first
-// request that is served next is then the one that has waited longest.
+// Refuses the call before anything is sent, so that it uses no part of the limits.
 void Coordinator::RefuseForLimits(CallId id,
                                   CallProgress& progress,
                                   TimePoint now,
@@ -137,8 +136,8 @@
   });
 }
 
-int Coordinator::ComputeUrgency(const Route& route, bool is_extra) {
-  return 2 * route.priority + (is_extra ? 1 : 0);
+int Coordinator::ComputeUrgency(const Route& route, bool is_hedge) {
+  return 2 * route.priority + (is_hedge ? 1 : 0);
 }
 
 bool Coordinator::HasTimeBeforeStop(const Route& route, TimePoint now) {
--- a/src/leaf_limits/leaf_limits.cc
+++ b/src/leaf_limits/leaf_limits.cc
@@ -182,17 +182,30 @@
   this->UpdateTokens(leaf, *limit, now);
   return limit->share_burst > 0 &&
          limit->tokens >= this->ComputeNeededTokens(*limit, urgency, now) &&
-         now >= this->FindPrecedenceEnd(*limit, urgency);
+         now >= this->FindPrecedenceEnd(*limit, urgency, now);
+}
+
+bool LeafLimits::IsLessUrgent(const Limit& limit, int urgency, TimePoint now) const {
+  return urgency > limit.asked.urgency && now - limit.asked.at < this->options.precedence_time;
+}
+
+bool LeafLimits::IsTurnOfOthers(const Limit& limit, TimePoint now) const {
+  const Demand& others = limit.other_demand;
+  const Demand& urgent = limit.urgent_demand;
+  return limit.overtakes >= this->options.max_overtakes &&
+         now - others.updated_at < this->options.precedence_time &&
+         others.sent * urgent.asked < urgent.sent * others.asked;
 }
 
 double LeafLimits::ComputeNeededTokens(const Limit& limit, int urgency, TimePoint now) const {
-  const bool is_less_urgent =
-      urgency > limit.asked.urgency && now - limit.asked.at < this->options.precedence_time;
-  return is_less_urgent ? std::min(2.0, limit.share_burst) : 1;
+  const bool gives_way =
+      this->IsLessUrgent(limit, urgency, now) != this->IsTurnOfOthers(limit, now);
+  return gives_way ? std::min(2.0, limit.share_burst) : 1;
 }
 
-TimePoint LeafLimits::FindPrecedenceEnd(const Limit& limit, int urgency) const {
-  if (urgency <= limit.denied.urgency || limit.share_rate <= 0) {
+TimePoint LeafLimits::FindPrecedenceEnd(const Limit& limit, int urgency, TimePoint now) const {
+  if (urgency <= limit.denied.urgency || limit.share_rate <= 0 ||
+      this->IsTurnOfOthers(limit, now)) {
     return {};
   }
   return limit.denied.at +
@@ -200,9 +213,30 @@
                   FromSeconds(this->options.precedence_requests / limit.share_rate));
 }
 
-void LeafLimits::KeepMostUrgent(UrgentRequest& kept, int urgency, TimePoint now) const {
-  if (urgency <= kept.urgency || now - kept.at > this->options.precedence_time) {
-    kept = {.urgency = urgency, .at = now};
+void LeafLimits::RecordDemand(Limit& limit, int urgency, bool is_sent, TimePoint now) const {
+  const auto is_most_urgent = [&](const UrgentRequest& kept) {
+    return urgency <= kept.urgency || now - kept.at > this->options.precedence_time;
+  };
+  if (is_most_urgent(limit.asked)) {
+    if (limit.asked.urgency != urgency) {
+      limit.urgent_demand = {};
+      limit.other_demand = {};
+      limit.overtakes = 0;
+    }
+    limit.asked = {.urgency = urgency, .at = now};
+  }
+  if (!is_sent && is_most_urgent(limit.denied)) {
+    limit.denied = {.urgency = urgency, .at = now};
+  }
+  const bool is_urgent = urgency == limit.asked.urgency;
+  Demand& demand = is_urgent ? limit.urgent_demand : limit.other_demand;
+  const double decay =
+      std::exp2(-ToSeconds(now - demand.updated_at) / ToSeconds(this->options.precedence_time));
+  demand = {.asked = demand.asked * decay + 1,
+            .sent = demand.sent * decay + (is_sent ? 1 : 0),
+            .updated_at = now};
+  if (is_sent) {
+    limit.overtakes = is_urgent ? limit.overtakes + 1 : 0;
   }
 }
 
@@ -219,7 +253,7 @@
   if (Limit* limit = this->FindLimit(leaf, now)) {
     this->UpdateTokens(leaf, *limit, now);
     limit->tokens = std::max(0.0, limit->tokens - 1);
-    this->KeepMostUrgent(limit->asked, urgency, now);
+    this->RecordDemand(*limit, urgency, true, now);
   }
 }
 
@@ -232,8 +266,7 @@
 
 void LeafLimits::RecordDenial(LeafRun leaf, int urgency, TimePoint now) {
   if (Limit* limit = this->FindLimit(leaf, now)) {
-    this->KeepMostUrgent(limit->asked, urgency, now);
-    this->KeepMostUrgent(limit->denied, urgency, now);
+    this->RecordDemand(*limit, urgency, false, now);
   }
 }
 
@@ -250,7 +283,7 @@
                                   : 1 / std::max(*limit.rate, this->options.min_rate);
   return std::min(this->options.max_return_wait,
                   std::max({FromSeconds(token_wait_s), limit.returns_until - now,
-                            this->FindPrecedenceEnd(limit, urgency) - now}));
+                            this->FindPrecedenceEnd(limit, urgency, now) - now}));
 }
 
 // Callers return to any VM, so each VM lets them return at its part of the fleet's rate.
