--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -280,7 +280,9 @@
       ",\"store_in_touch\":", this->store_in_touch ? "true" : "false", ",\"feed_step\":\"",
       std::string(ToName(kFeedStepNames, this->feed_action.step)),
       "\",\"feed_waited_ms\":", FormatMilliseconds(BootClock::now() - this->feed_started_at),
-      ",\"leaves\":", this->directory.size(), ",\"calls\":", this->coordinator.in_progress(),
+      ",\"leaves\":", this->directory.size(),
+      ",\"limited_leaves\":", this->coordinator.limits().ListReports(BootClock::now()).size(),
+      ",\"calls\":", this->coordinator.in_progress(),
       ",\"connections_opened\":", this->pool.counts().opened,
       ",\"connections_reused\":", this->pool.counts().reused,
       ",\"log_dropped\":", this->log.dropped(), "}");
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -197,7 +197,7 @@
                 self.given[signature] = (request, state["service"], records)
                 await write_message(writer, "HTTP/1.1 200 OK", {
                     "X-Ibishold-Request-Id": request, "X-Ibishold-Response-Stamp": signature,
-                    "X-Ibishold-Server-Load": "1,0,4"}, records)
+                    "X-Ibishold-Server-Load": "1,0,4", **self.answer_headers(state)}, records)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -207,6 +207,10 @@
         """Tests override this: true if the leaf has crashed under the request."""
         return False
 
+    def answer_headers(self, state):
+        """Tests override this: more headers of the leaf's answers."""
+        return {}
+
     # ---- configuration --------------------------------------------------------------------------
 
     async def publish(self):
