End the turn of less urgent calls when no urgent ones ask any more

Otherwise the last turn was read the other way round, and less urgent calls had to leave a request unused for calls that had stopped asking. Found by reading.

--- a/src/leaf_limits/leaf_limits.cc
+++ b/src/leaf_limits/leaf_limits.cc
@@ -193,6 +193,7 @@
   const Demand& others = limit.other_demand;
   const Demand& urgent = limit.urgent_demand;
   return limit.overtakes >= this->options.max_overtakes &&
+         now - limit.asked.at < this->options.precedence_time &&
          now - others.updated_at < this->options.precedence_time &&
          others.sent * urgent.asked < urgent.sent * others.asked;
 }
