--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -21,6 +21,7 @@
 
 #include "ibishold/call.h"
 #include "ibishold/core.h"
+#include "ibishold/crash_guard.h"
 #include "ibishold/leaf_limits.h"
 #include "ibishold/leaf_policy.h"
 #include "ibishold/routing.h"
--- a/src/crash_guard/crash_guard.cc
+++ b/src/crash_guard/crash_guard.cc
@@ -2,7 +2,7 @@
 #include <bit>
 #include <utility>
 
-#include "ibishold/leaf_policy.h"
+#include "ibishold/crash_guard.h"
 
 namespace ibishold {
 
--- a/tests/crash_guard/crash_sharing_test.cc
+++ b/tests/crash_guard/crash_sharing_test.cc
@@ -3,7 +3,7 @@
 #include <queue>
 #include <vector>
 
-#include "ibishold/leaf_policy.h"
+#include "ibishold/crash_guard.h"
 
 namespace ibishold {
 
