Take the smaller of the old and the new share of a limit for 3 s after a change of the senders

What a leaf would see: up to 1.9 times its limit while some VMs know already that only the coordinators send, and others still send themselves.

Cause: a VM took a larger share as soon as it learned of a change, when others had not given up theirs.

Change: LeafLimits keeps the senders before the last change for 3 s, and takes the smaller of the two shares.

--- a/include/ibishold/leaf_limits.h
+++ b/include/ibishold/leaf_limits.h
@@ -24,7 +24,7 @@
 // The VMs that send to leaves with a limit. VMs with different lists still share the limits, but
 // their shares don't add up to exactly one.
 struct LimitSenders {
-  std::vector<std::uint64_t> vms;  // stable hashes of the VMs' addresses
+  std::vector<std::uint64_t> vms;  // numbers that identify the VMs on each VM
   std::uint64_t self = 0;          // a VM that is not in `vms` has no share
   // Share of the fleet's VMs that this VM is in contact with, 0 to 1. The parts of a divided fleet
   // use only that share of a limit, so that together they keep to it.
@@ -40,6 +40,9 @@
   // plus a number of requests.
   Duration burst_time = std::chrono::seconds(1);
   double burst_requests = 3;
+  // After a change of the senders, a VM takes the smaller of its old and its new share for this
+  // long. VMs learn of changes at different times, and each could otherwise take the larger one.
+  Duration settle_time = std::chrono::seconds(3);
   // A leaf with a lower limit gets this rate, because the end of its limit shows only in answers.
   double min_rate = 0.25;
   // A limit that no answer has confirmed for this long is dropped. Reports that are older are not
@@ -114,6 +117,11 @@
   std::vector<LeafLimitReport> ListReports(TimePoint now) const;
 
  private:
+  // This VM's part of a limit.
+  struct Share {
+    double rate = 0;   // requests/s
+    double burst = 0;  // largest number of tokens; 0: no share
+  };
   struct UrgentRequest {
     int urgency = 0;
     TimePoint at{};
@@ -127,9 +135,9 @@
   struct Limit {
     std::optional<double> rate;  // nothing: the limit has ended
     TimePoint stated_at{};
+    Share share;
     std::uint64_t share_version = 0;  // senders_version for which the share was computed
-    double share_rate = 0;            // requests/s
-    double share_burst = 0;           // largest number of tokens; 0: no share
+    TimePoint share_expires_at{};     // the share must be computed again then
     double tokens = 0;
     TimePoint tokens_at{};
     UrgentRequest asked;   // the most urgent of the recent requests, sent or denied
@@ -157,14 +165,16 @@
   // denied.
   TimePoint FindPrecedenceEnd(const Limit& limit, int urgency, TimePoint now) const;
   void RecordDemand(Limit& limit, int urgency, bool is_sent, TimePoint now) const;
-  void UpdateShare(LeafRun leaf, Limit& limit) const;
-  std::size_t CountVmsBefore(LeafRun leaf) const;
-  double ComputeFleetRate(const Limit& limit) const;
+  void UpdateShare(LeafRun leaf, Limit& limit, TimePoint now) const;
+  Share ComputeShare(LeafRun leaf, const Limit& limit, const LimitSenders& shared_by) const;
+  double ComputeFleetRate(const Limit& limit, const LimitSenders& shared_by) const;
   bool IsExpired(const Limit& limit, TimePoint now) const;
   LeafLimitReport MakeReport(LeafRun leaf, const Limit& limit, TimePoint now) const;
 
   LeafLimitOptions options;
   LimitSenders senders;
+  LimitSenders previous_senders;
+  TimePoint settled_at{};  // until then, previous_senders count too
   std::uint64_t senders_version = 1;
   std::unordered_map<LeafRun, Limit> limits;
   std::vector<LeafRun> changed_by_leaves;  // not returned by TakeReports yet
--- a/src/leaf_limits/leaf_limits.cc
+++ b/src/leaf_limits/leaf_limits.cc
@@ -23,6 +23,15 @@
   }
 }
 
+// Returns the number of senders that are selected before this VM to hold a part of the limit.
+std::size_t CountVmsBefore(LeafRun leaf, const LimitSenders& senders) {
+  const auto score = [leaf](std::uint64_t vm) { return Random(leaf ^ std::rotl(vm, 1)).Next(); };
+  const std::uint64_t own_score = score(senders.self);
+  return static_cast<std::size_t>(
+      std::count_if(senders.vms.begin(), senders.vms.end(),
+                    [&](std::uint64_t vm) { return score(vm) > own_score; }));
+}
+
 }  // namespace
 
 LeafLimits::LeafLimits(LeafLimitOptions options) : options(options) {}
@@ -76,9 +85,9 @@
   }
   limit.rate = rate;
   if (rate) {
-    this->UpdateShare(leaf, limit);
+    this->UpdateShare(leaf, limit, now);
     if (!was_in_force) {
-      limit.tokens = limit.share_burst / 2;
+      limit.tokens = limit.share.burst / 2;
       limit.tokens_at = now;
       limit.returns_until = {};
     }
@@ -127,51 +136,55 @@
   for (auto& [leaf, limit] : this->limits) {
     this->UpdateTokens(leaf, limit, now);  // with the old share
   }
-  this->senders = std::move(new_senders);
+  // A VM that had no contact to others has no old share that could count.
+  const bool has_previous = this->senders.reach > 0 && !this->senders.vms.empty();
+  this->settled_at = has_previous ? now + this->options.settle_time : TimePoint();
+  this->previous_senders = std::exchange(this->senders, std::move(new_senders));
   ++this->senders_version;
 }
 
-double LeafLimits::ComputeFleetRate(const Limit& limit) const {
-  return std::max(limit.rate.value_or(0), this->options.min_rate) * this->senders.reach;
-}
-
-// Returns the number of senders that are selected before this VM to hold a part of the limit.
-std::size_t LeafLimits::CountVmsBefore(LeafRun leaf) const {
-  const auto score = [leaf](std::uint64_t vm) { return Random(leaf ^ std::rotl(vm, 1)).Next(); };
-  const std::uint64_t own_score = score(this->senders.self);
-  return static_cast<std::size_t>(
-      std::count_if(this->senders.vms.begin(), this->senders.vms.end(),
-                    [&](std::uint64_t vm) { return score(vm) > own_score; }));
+double LeafLimits::ComputeFleetRate(const Limit& limit, const LimitSenders& shared_by) const {
+  return std::max(limit.rate.value_or(0), this->options.min_rate) * shared_by.reach;
 }
 
-void LeafLimits::UpdateShare(LeafRun leaf, Limit& limit) const {
-  limit.share_version = this->senders_version;
-  limit.share_rate = 0;
-  limit.share_burst = 0;
-  const std::vector<std::uint64_t>& vms = this->senders.vms;
-  if (std::find(vms.begin(), vms.end(), this->senders.self) == vms.end() ||
-      this->senders.reach <= 0) {
-    return;
+LeafLimits::Share LeafLimits::ComputeShare(LeafRun leaf,
+                                           const Limit& limit,
+                                           const LimitSenders& shared_by) const {
+  const std::vector<std::uint64_t>& vms = shared_by.vms;
+  if (std::find(vms.begin(), vms.end(), shared_by.self) == vms.end() || shared_by.reach <= 0) {
+    return {};
   }
-  const double fleet_rate = this->ComputeFleetRate(limit);
+  const double fleet_rate = this->ComputeFleetRate(limit, shared_by);
   const double fleet_burst = fleet_rate * ToSeconds(this->options.burst_time) +
-                             this->options.burst_requests * this->senders.reach;
+                             this->options.burst_requests * shared_by.reach;
   // Each holder needs a burst of at least one request to send anything.
   const double holders = std::clamp(std::floor(fleet_burst), 1.0, static_cast<double>(vms.size()));
-  if (static_cast<double>(this->CountVmsBefore(leaf)) >= holders) {
-    return;
+  if (static_cast<double>(CountVmsBefore(leaf, shared_by)) >= holders) {
+    return {};
   }
-  limit.share_rate = fleet_rate / holders;
-  limit.share_burst = std::max(1.0, fleet_burst / holders);
+  return {.rate = fleet_rate / holders, .burst = std::max(1.0, fleet_burst / holders)};
 }
 
-void LeafLimits::UpdateTokens(LeafRun leaf, Limit& limit, TimePoint now) const {
-  if (limit.share_version != this->senders_version) {
-    this->UpdateShare(leaf, limit);
+void LeafLimits::UpdateShare(LeafRun leaf, Limit& limit, TimePoint now) const {
+  limit.share = this->ComputeShare(leaf, limit, this->senders);
+  limit.share_expires_at = TimePoint::max();
+  if (now < this->settled_at) {
+    const Share previous = this->ComputeShare(leaf, limit, this->previous_senders);
+    limit.share = {.rate = std::min(limit.share.rate, previous.rate),
+                   .burst = std::min(limit.share.burst, previous.burst)};
+    limit.share_expires_at = this->settled_at;
   }
+  limit.share_version = this->senders_version;
+  limit.tokens = std::min(limit.tokens, limit.share.burst);
+}
+
+void LeafLimits::UpdateTokens(LeafRun leaf, Limit& limit, TimePoint now) const {
   const double seconds = std::max(0.0, ToSeconds(now - limit.tokens_at));
-  limit.tokens = std::min(limit.share_burst, limit.tokens + limit.share_rate * seconds);
+  limit.tokens = std::min(limit.share.burst, limit.tokens + limit.share.rate * seconds);
   limit.tokens_at = std::max(limit.tokens_at, now);
+  if (limit.share_version != this->senders_version || now >= limit.share_expires_at) {
+    this->UpdateShare(leaf, limit, now);
+  }
 }
 
 bool LeafLimits::CanSend(LeafRun leaf, int urgency, TimePoint now) {
@@ -180,7 +193,7 @@
     return true;
   }
   this->UpdateTokens(leaf, *limit, now);
-  return limit->share_burst > 0 &&
+  return limit->share.burst > 0 &&
          limit->tokens >= this->ComputeNeededTokens(*limit, urgency, now) &&
          now >= this->FindPrecedenceEnd(*limit, urgency, now);
 }
@@ -201,17 +214,17 @@
 double LeafLimits::ComputeNeededTokens(const Limit& limit, int urgency, TimePoint now) const {
   const bool gives_way =
       this->IsLessUrgent(limit, urgency, now) != this->IsTurnOfOthers(limit, now);
-  return gives_way ? std::min(2.0, limit.share_burst) : 1;
+  return gives_way ? std::min(2.0, limit.share.burst) : 1;
 }
 
 TimePoint LeafLimits::FindPrecedenceEnd(const Limit& limit, int urgency, TimePoint now) const {
-  if (urgency <= limit.denied.urgency || limit.share_rate <= 0 ||
+  if (urgency <= limit.denied.urgency || limit.share.rate <= 0 ||
       this->IsTurnOfOthers(limit, now)) {
     return {};
   }
   return limit.denied.at +
          std::min(this->options.precedence_time,
-                  FromSeconds(this->options.precedence_requests / limit.share_rate));
+                  FromSeconds(this->options.precedence_requests / limit.share.rate));
 }
 
 void LeafLimits::RecordDemand(Limit& limit, int urgency, bool is_sent, TimePoint now) const {
@@ -247,7 +260,7 @@
     return true;
   }
   this->UpdateTokens(leaf, *limit, now);
-  return limit->share_burst > 0;
+  return limit->share.burst > 0;
 }
 
 void LeafLimits::TakeToken(LeafRun leaf, int urgency, TimePoint now) {
@@ -261,7 +274,7 @@
 void LeafLimits::ReturnToken(LeafRun leaf, TimePoint now) {
   if (Limit* limit = this->FindLimit(leaf, now)) {
     this->UpdateTokens(leaf, *limit, now);
-    limit->tokens = std::min(limit->share_burst, limit->tokens + 1);
+    limit->tokens = std::min(limit->share.burst, limit->tokens + 1);
   }
 }
 
@@ -279,8 +292,8 @@
   // Another VM serves a caller that returns if this one has no share.
   const double missing_tokens =
       std::max(0.0, this->ComputeNeededTokens(limit, urgency, now) - limit.tokens);
-  const double token_wait_s = limit.share_rate > 0
-                                  ? missing_tokens / limit.share_rate
+  const double token_wait_s = limit.share.rate > 0
+                                  ? missing_tokens / limit.share.rate
                                   : 1 / std::max(*limit.rate, this->options.min_rate);
   return std::min(this->options.max_return_wait,
                   std::max({FromSeconds(token_wait_s), limit.returns_until - now,
@@ -290,7 +303,7 @@
 // Callers return to any VM, so each VM lets them return at its part of the fleet's rate.
 void LeafLimits::ReserveReturn(LeafRun leaf, TimePoint now) {
   Limit* limit = this->FindLimit(leaf, now);
-  const double fleet_rate = limit == nullptr ? 0 : this->ComputeFleetRate(*limit);
+  const double fleet_rate = limit == nullptr ? 0 : this->ComputeFleetRate(*limit, this->senders);
   if (fleet_rate <= 0) {
     return;
   }
--- a/tests/leaf_limits/limit_sharing_test.cc
+++ b/tests/leaf_limits/limit_sharing_test.cc
@@ -143,6 +143,42 @@
   }
 }
 
+// Guards against VMs that each take the larger share while they disagree on who sends: 18 of 21 VMs
+// with 1/21 each, and three coordinators with 1/3 each, together take 1.9 times the limit.
+TEST_CASE("VMs of which some know sooner than others who sends") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    LimitedLeafFleet fleet({.vms = 21, .senders = 21, .demand = 300, .seed = seed});
+    fleet.stated_limit = 40;
+    fleet.RunFor(kContactTime);
+    const TimePoint since = fleet.now;
+    std::vector<std::uint64_t> all;
+    for (std::size_t vm = 0; vm < 21; ++vm) {
+      all.push_back(LimitedLeafFleet::GetVmHash(vm));
+    }
+    const std::vector<std::uint64_t> coordinators(all.begin(), all.begin() + 3);
+    Random random(seed);
+    for (int change = 0; change < 6; ++change) {
+      // Coordinators learn of the change at once, the others within 4 s.
+      const std::vector<std::uint64_t>& senders = change % 2 == 0 ? coordinators : all;
+      std::vector<Duration> learns_after;
+      for (std::size_t vm = 0; vm < 21; ++vm) {
+        learns_after.push_back(milliseconds(vm < 3 ? 0 : 3000 + random.NextBelow(1000)));
+      }
+      for (Duration elapsed{}; elapsed < seconds(6); elapsed += milliseconds(100)) {
+        for (std::size_t vm = 0; vm < 21; ++vm) {
+          if (elapsed <= learns_after[vm] && learns_after[vm] < elapsed + milliseconds(100)) {
+            fleet.SetSenders(vm, senders, 1);
+          }
+        }
+        fleet.RunFor(milliseconds(100));
+      }
+    }
+    CHECK(fleet.CountMostArrivals(since) <= ComputeAllowedArrivals(40));
+    CHECK(fleet.ComputeArrivalRate(since) >= 0.5 * 40);
+  }
+}
+
 // Guards against news that each VM passes on again and again.
 TEST_CASE("a limit that does not change costs the regular messages only") {
   LimitedLeafFleet fleet({.vms = 295, .senders = 5, .demand = 48, .seed = 5});
