--- a/src/node/node_gossip.h
+++ b/src/node/node_gossip.h
@@ -314,11 +314,13 @@
 // In a large fleet the coordinators share the limits of leaves, else all VMs.
 template <PlatformTranslation Platform>
 void Node<Platform>::UpdateLimitSenders(TimePoint now) {
-  const auto hash = [](const PeerAddress& address) { return StableHash(FormatAddress(address)); };
+  const auto to_number = [](const PeerAddress& address) {
+    return std::uint64_t{address.ip} << 16U | address.port;
+  };
   const std::vector<PeerAddress> vms =
       this->plan.direct ? this->peer_table.WorkingPeers(now) : this->plan.coordinators;
-  LimitSenders senders = {.self = hash(this->own_address())};
-  std::transform(vms.begin(), vms.end(), std::back_inserter(senders.vms), hash);
+  LimitSenders senders = {.self = to_number(this->own_address())};
+  std::transform(vms.begin(), vms.end(), std::back_inserter(senders.vms), to_number);
   // A VM that has just started does not know yet how many others send.
   const bool peers_known = now - this->started_at > this->options.peers.startup_duration;
   senders.reach = peers_known ? this->peer_table.ComputeReach(now) : 0;
