Take the smallest share of a limit of the last 3 s, not only of the last two lists of senders

A leaf in need gets more than it takes, and calls of the leaf then wait or fail.

Cause: after a change of the senders a VM compares its new share with the one before it for 3 s. A second change within the 3 s replaced the share before. Each VM that is lost or found again changes the reach and so the senders. A coordinator that had just changed from 1/21 to 1/3 thus took 1/3 at once, while the other 18 VMs still sent.

Change: LeafLimits keeps all lists of senders of the last 3 s and takes the smallest share.

--- a/include/ibishold/leaf_limits.h
+++ b/include/ibishold/leaf_limits.h
@@ -40,8 +40,9 @@
   // plus a number of requests.
   Duration burst_time = std::chrono::seconds(1);
   double burst_requests = 3;
-  // After a change of the senders, a VM takes the smaller of its old and its new share for this
-  // long. VMs learn of changes at different times, and each could otherwise take the larger one.
+  // A VM takes the smallest share that it had at any time in this long. VMs learn of a change of
+  // the senders at different times, and each could otherwise take the larger of its old and new
+  // share.
   Duration settle_time = std::chrono::seconds(3);
   // A leaf with a lower limit gets this rate, because the end of its limit shows only in answers.
   double min_rate = 0.25;
@@ -122,6 +123,10 @@
     double rate = 0;   // requests/s
     double burst = 0;  // largest number of tokens; 0: no share
   };
+  struct FormerSenders {
+    LimitSenders senders;
+    TimePoint expires_at{};  // this VM's share under them counts until then
+  };
   struct UrgentRequest {
     int urgency = 0;
     TimePoint at{};
@@ -173,8 +178,7 @@
 
   LeafLimitOptions options;
   LimitSenders senders;
-  LimitSenders previous_senders;
-  TimePoint settled_at{};  // until then, previous_senders count too
+  std::vector<FormerSenders> former_senders;  // the oldest first
   std::uint64_t senders_version = 1;
   std::unordered_map<LeafRun, Limit> limits;
   std::vector<LeafRun> changed_by_leaves;  // not returned by TakeReports yet
--- a/src/leaf_limits/leaf_limits.cc
+++ b/src/leaf_limits/leaf_limits.cc
@@ -136,10 +136,14 @@
   for (auto& [leaf, limit] : this->limits) {
     this->UpdateTokens(leaf, limit, now);  // with the old share
   }
+  std::erase_if(this->former_senders,
+                [now](const FormerSenders& former) { return former.expires_at <= now; });
   // A VM that had no contact to others has no old share that could count.
-  const bool has_previous = this->senders.reach > 0 && !this->senders.vms.empty();
-  this->settled_at = has_previous ? now + this->options.settle_time : TimePoint();
-  this->previous_senders = std::exchange(this->senders, std::move(new_senders));
+  if (this->senders.reach > 0 && !this->senders.vms.empty()) {
+    this->former_senders.push_back(
+        {.senders = std::move(this->senders), .expires_at = now + this->options.settle_time});
+  }
+  this->senders = std::move(new_senders);
   ++this->senders_version;
 }
 
@@ -168,11 +172,14 @@
 void LeafLimits::UpdateShare(LeafRun leaf, Limit& limit, TimePoint now) const {
   limit.share = this->ComputeShare(leaf, limit, this->senders);
   limit.share_expires_at = TimePoint::max();
-  if (now < this->settled_at) {
-    const Share previous = this->ComputeShare(leaf, limit, this->previous_senders);
-    limit.share = {.rate = std::min(limit.share.rate, previous.rate),
-                   .burst = std::min(limit.share.burst, previous.burst)};
-    limit.share_expires_at = this->settled_at;
+  for (const FormerSenders& former : this->former_senders) {
+    if (now >= former.expires_at) {
+      continue;
+    }
+    const Share share = this->ComputeShare(leaf, limit, former.senders);
+    limit.share = {.rate = std::min(limit.share.rate, share.rate),
+                   .burst = std::min(limit.share.burst, share.burst)};
+    limit.share_expires_at = std::min(limit.share_expires_at, former.expires_at);
   }
   limit.share_version = this->senders_version;
   limit.tokens = std::min(limit.tokens, limit.share.burst);
--- a/tests/leaf_limits/limit_sharing_test.cc
+++ b/tests/leaf_limits/limit_sharing_test.cc
@@ -152,10 +152,7 @@
     fleet.stated_limit = 40;
     fleet.RunFor(kContactTime);
     const TimePoint since = fleet.now;
-    std::vector<std::uint64_t> all;
-    for (std::size_t vm = 0; vm < 21; ++vm) {
-      all.push_back(LimitedLeafFleet::GetVmHash(vm));
-    }
+    const std::vector<std::uint64_t> all = LimitedLeafFleet::ListVmHashes(21);
     const std::vector<std::uint64_t> coordinators(all.begin(), all.begin() + 3);
     Random random(seed);
     for (int change = 0; change < 6; ++change) {
@@ -179,6 +176,39 @@
   }
 }
 
+// Guards against a second change that ends the settling of the first: coordinators that take their
+// full share while the other VMs still send.
+TEST_CASE("VMs that learn of another change before their shares have settled") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    LimitedLeafFleet fleet({.vms = 21, .senders = 21, .demand = 300, .seed = seed});
+    fleet.stated_limit = 40;
+    fleet.RunFor(kContactTime);
+    const TimePoint since = fleet.now;
+    const std::vector<std::uint64_t> all = LimitedLeafFleet::ListVmHashes(21);
+    const std::vector<std::uint64_t> coordinators(all.begin(), all.begin() + 3);
+    const auto set_senders = [&](const std::vector<std::uint64_t>& senders, double reach,
+                                 std::size_t first, std::size_t last) {
+      for (std::size_t vm = first; vm < last; ++vm) {
+        fleet.SetSenders(vm, senders, reach);
+      }
+    };
+    for (int round = 0; round < 3; ++round) {
+      // The coordinators also notice VMs that are lost and found again.
+      for (const double reach : {1.0, 0.99, 0.98, 0.97, 0.98, 0.99, 1.0}) {
+        set_senders(coordinators, reach, 0, 3);
+        fleet.RunFor(milliseconds(550));
+      }
+      set_senders(coordinators, 1, 3, 21);
+      fleet.RunFor(seconds(6));
+      set_senders(all, 1, 0, 21);
+      fleet.RunFor(seconds(6));
+    }
+    CHECK(fleet.CountMostArrivals(since) <= ComputeAllowedArrivals(40));
+    CHECK(fleet.ComputeArrivalRate(since) >= 0.5 * 40);
+  }
+}
+
 // Guards against news that each VM passes on again and again.
 TEST_CASE("a limit that does not change costs the regular messages only") {
   LimitedLeafFleet fleet({.vms = 295, .senders = 5, .demand = 48, .seed = 5});
--- a/tests/leaf_limits/limited_leaf_fleet.h
+++ b/tests/leaf_limits/limited_leaf_fleet.h
@@ -26,9 +26,7 @@
 class LimitedLeafFleet {
  public:
   explicit LimitedLeafFleet(FleetOptions options) : options(options), random(options.seed) {
-    for (std::size_t i = 0; i < options.senders; ++i) {
-      this->everyone.push_back(GetVmHash(i));
-    }
+    this->everyone = ListVmHashes(options.senders);
     for (std::size_t i = 0; i < options.vms; ++i) {
       this->vms.emplace_back();
       this->Restart(i);
@@ -36,6 +34,13 @@
   }
 
   static std::uint64_t GetVmHash(std::size_t vm) { return Random(vm + 1).Next(); }
+  static std::vector<std::uint64_t> ListVmHashes(std::size_t count) {
+    std::vector<std::uint64_t> hashes;
+    for (std::size_t vm = 0; vm < count; ++vm) {
+      hashes.push_back(GetVmHash(vm));
+    }
+    return hashes;
+  }
 
   // The VM starts with nothing known, and learns of the others at once.
   void Restart(std::size_t vm) {
