Evict refused calls last when crashes of many other calls fill CrashGuard

What callers saw: nothing yet; found while looking for other ways in which a call loses its count. A call that crashes leaves runs on again, and crashes three more.

Cause: CrashGuard keeps 1,024 calls and evicted the one that was recorded longest ago. A refusal is not recorded again while it works, so 1,024 calls that each lose one connection, as in a wave of crashed leaves, ended a refusal of 10 minutes.

Evidence: crash_guard_test, new case: after 2,048 single crashes the refusal was gone (1 check of 224 failed).

Change: entries with a refusal in force, as a whole or at a service, are evicted after all others. The bound on the number of entries stays.

Measured: crash_guard_test (224 checks) and crash_sharing_test (3,423) pass.

--- a/include/ibishold/crash_guard.h
+++ b/include/ibishold/crash_guard.h
@@ -38,10 +38,10 @@
   Duration max_adopted_age = std::chrono::seconds(30);
   Duration min_adopted_time_left = std::chrono::seconds(5);
   Duration refusal_duration = std::chrono::minutes(10);  // as in the quarantine of ibishold-front
-  std::size_t max_fingerprints = 1024;
-  std::size_t max_services = 8;            // per fingerprint
-  std::size_t max_leaves_per_service = 8;  // per service of a fingerprint
-  std::size_t success_slots = 4096;        // a new success replaces an older one in its slot
+  std::size_t max_fingerprints = 1024;                   // calls that are refused are evicted last
+  std::size_t max_services = 8;                          // per fingerprint
+  std::size_t max_leaves_per_service = 8;                // per service of a fingerprint
+  std::size_t success_slots = 4096;  // a new success replaces an older one in its slot
 };
 
 // What a VM tells its peers about calls that crash leaves.
@@ -130,6 +130,8 @@
   // Returns false if the crash is already counted or a limit is reached.
   bool AddCrashedLeaf(Entry& entry, const LeafCrash& crash) const;
   void ApplyLimits(Entry& entry, TimePoint now) const;
+  // True if the call is refused as a whole or at a service.
+  static bool IsRefusedAnywhere(const Entry& entry, TimePoint now);
   bool IsSuspect(const Entry& entry, const ServiceCrashes& service) const;
   // Appends what peers need to know about the call.
   void AppendNews(std::uint64_t fingerprint,
--- a/src/crash_guard/crash_guard.cc
+++ b/src/crash_guard/crash_guard.cc
@@ -28,10 +28,13 @@
 CrashGuard::Entry& CrashGuard::FindOrInsert(std::uint64_t fingerprint, TimePoint now) {
   if (this->entries.size() >= this->options.max_fingerprints &&
       !this->entries.contains(fingerprint)) {
-    this->entries.erase(std::min_element(this->entries.begin(), this->entries.end(),
-                                         [](const auto& a, const auto& b) {
-                                           return a.second.last_used_at < b.second.last_used_at;
-                                         }));
+    // Single crashes are common, and must not displace the few calls that are refused.
+    const auto rank = [now](const Entry& entry) {
+      return std::pair(IsRefusedAnywhere(entry, now), entry.last_used_at);
+    };
+    this->entries.erase(std::min_element(
+        this->entries.begin(), this->entries.end(),
+        [&](const auto& a, const auto& b) { return rank(a.second) < rank(b.second); }));
   }
   Entry& entry = this->entries[fingerprint];
   entry.last_used_at = now;
@@ -120,6 +123,12 @@
   }
 }
 
+bool CrashGuard::IsRefusedAnywhere(const Entry& entry, TimePoint now) {
+  return entry.refused_until > now ||
+         std::any_of(entry.services.begin(), entry.services.end(),
+                     [now](const ServiceCrashes& service) { return service.blocked_until > now; });
+}
+
 bool CrashGuard::IsSuspect(const Entry& entry, const ServiceCrashes& service) const {
   const auto limit = static_cast<double>(this->options.suspicion_limit);
   return service.part == CallPart::kWhole ? entry.whole_call_score >= limit
--- a/tests/dispatch/crash_guard_test.cc
+++ b/tests/dispatch/crash_guard_test.cc
@@ -207,6 +207,45 @@
   }
 }
 
+// Guards against refusals that are dropped because many other calls lost connections since.
+TEST_CASE("a refusal stays in force while many other calls lose connections") {
+  const CrashGuardOptions options;
+  CrashGuard guard(options);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  std::uint64_t crash_count = 0;
+  const auto record_crash = [&](std::uint64_t fingerprint) {
+    ++crash_count;
+    guard.RecordCrash({.fingerprint = fingerprint,
+                       .part = CallPart::kWhole,
+                       .request = crash_count,
+                       .service = 7,
+                       .leaf = crash_count},
+                      now);
+    now += std::chrono::milliseconds(1);
+  };
+  const auto refuse = [&](std::uint64_t fingerprint) {
+    for (std::size_t i = 0; i < options.crash_limit; ++i) {
+      record_crash(fingerprint);
+    }
+  };
+  refuse(kFingerprint);
+  REQUIRE(guard.HasActiveRefusal(kFingerprint, now));
+  SUBCASE("with one crash each") {
+    for (std::uint64_t i = 0; i < 2 * options.max_fingerprints; ++i) {
+      record_crash(1000 + i);
+    }
+    CHECK(guard.HasActiveRefusal(kFingerprint, now));
+  }
+  SUBCASE("unless as many newer refusals are kept") {
+    for (std::uint64_t i = 0; i < options.max_fingerprints; ++i) {
+      refuse(1000 + i);
+    }
+    CHECK(!guard.HasActiveRefusal(kFingerprint, now));
+    CHECK(guard.HasActiveRefusal(1000 + options.max_fingerprints - 1, now));
+    CHECK(guard.ListNews(now).refusals.size() == options.max_fingerprints);
+  }
+}
+
 TEST_CASE("a refusal that peers report to each other expires") {
   // Guards against two VMs that renew a refusal forever because each reports it to the other.
   CrashGuard first_guard;
