--- a/tests/crash_guard/crash_sharing_test.cc
+++ b/tests/crash_guard/crash_sharing_test.cc
@@ -203,6 +203,14 @@
     fleet.RunFor(seconds(5));
     CHECK(fleet.IsBlocked(20));
   }
+  SUBCASE("still refuses it after all VMs have restarted one after the other") {
+    for (CrashGuard& guard : fleet.guards) {
+      guard = CrashGuard();
+      fleet.RunFor(seconds(1));
+    }
+    fleet.RunFor(seconds(5));
+    CHECK(fleet.CountBlocked() == 32);
+  }
   SUBCASE("sends the call again when the refusal is over") {
     // Guards against VMs that renew a block or a suspicion for ever by telling each other.
     fleet.RunFor(std::chrono::minutes(11));
