--- a/tests/leaf_limits/limit_sharing_test.cc
+++ b/tests/leaf_limits/limit_sharing_test.cc
@@ -23,6 +23,14 @@
 // In the fleets of 117 and 295 VMs a few coordinators send; in the others each VM does.
 constexpr FleetSize kFleetSizes[] = {{13, 13, 90}, {117, 3, 45}, {295, 5, 48}, {1100, 1100, 1940}};
 
+// All VMs send at first, and know of the limit of 40 requests/s.
+LimitedLeafFleet MakeLimitedFleetOf21(std::uint64_t seed) {
+  LimitedLeafFleet fleet({.vms = 21, .senders = 21, .demand = 300, .seed = seed});
+  fleet.stated_limit = 40;
+  fleet.RunFor(kContactTime);
+  return fleet;
+}
+
 }  // namespace
 
 // Guards against VMs that each keep to the whole limit, and against shares that every VM saves up
@@ -148,9 +156,7 @@
 TEST_CASE("VMs of which some know sooner than others who sends") {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
-    LimitedLeafFleet fleet({.vms = 21, .senders = 21, .demand = 300, .seed = seed});
-    fleet.stated_limit = 40;
-    fleet.RunFor(kContactTime);
+    LimitedLeafFleet fleet = MakeLimitedFleetOf21(seed);
     const TimePoint since = fleet.now;
     const std::vector<std::uint64_t> all = LimitedLeafFleet::ListVmHashes(21);
     const std::vector<std::uint64_t> coordinators(all.begin(), all.begin() + 3);
@@ -181,9 +187,7 @@
 TEST_CASE("VMs that learn of another change before their shares have settled") {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
-    LimitedLeafFleet fleet({.vms = 21, .senders = 21, .demand = 300, .seed = seed});
-    fleet.stated_limit = 40;
-    fleet.RunFor(kContactTime);
+    LimitedLeafFleet fleet = MakeLimitedFleetOf21(seed);
     const TimePoint since = fleet.now;
     const std::vector<std::uint64_t> all = LimitedLeafFleet::ListVmHashes(21);
     const std::vector<std::uint64_t> coordinators(all.begin(), all.begin() + 3);
