--- a/src/leaf_limits/leaf_limits.cc
+++ b/src/leaf_limits/leaf_limits.cc
@@ -25,6 +25,7 @@
 
 // Returns the number of senders that are selected before this VM to hold a part of the limit.
 std::size_t CountVmsBefore(LeafRun leaf, const LimitSenders& senders) {
+  // The first number of a generator is a hash of its seed.
   const auto score = [leaf](std::uint64_t vm) { return Random(leaf ^ std::rotl(vm, 1)).Next(); };
   const std::uint64_t own_score = score(senders.self);
   return static_cast<std::size_t>(
