--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -256,6 +256,9 @@
   // Returns the time until enough shards for an answer have a leaf that accepts requests.
   LeafWait FindTimeUntilServable(const CallProgress& progress, TimePoint now);
   bool RouteOrRefuse(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
+  // Sets the services of the call's shards: all of a fan-out route, or one of the other routes'
+  // targets by weight.
+  void AssignShards(CallProgress& progress);
   // Removes the attempt's SendAction. Returns false if it is not in `actions`, because it was
   // carried out in an earlier step.
   static bool WithdrawSend(AttemptId attempt, Actions& actions);
--- a/include/ibishold/leaf_limits.h
+++ b/include/ibishold/leaf_limits.h
@@ -24,7 +24,7 @@
 // The VMs that send to leaves with a limit. VMs with different lists still share the limits, but
 // their shares don't add up to exactly one.
 struct LimitSenders {
-  std::vector<std::uint64_t> vms;  // numbers that identify the VMs on each VM
+  std::vector<std::uint64_t> vms;  // a number for each VM, the same on all VMs
   std::uint64_t self = 0;          // a VM that is not in `vms` has no share
   // Share of the fleet's VMs that this VM is in contact with, 0 to 1. The parts of a divided fleet
   // use only that share of a limit, so that together they keep to it.
--- a/src/dispatch/coordinator_admission.cc
+++ b/src/dispatch/coordinator_admission.cc
@@ -41,23 +41,12 @@
         now, actions);
     return true;
   }
-  if (route.fan_out()) {
-    progress.shards.resize(route.shards.size());
-    for (std::size_t i = 0; i < route.shards.size(); ++i) {
-      progress.shards[i].service = route.shards[i];
-    }
-  } else {
-    WeightedRoundRobin& target_picker =
-        this->target_pickers.try_emplace(route.name, this->random.Next()).first->second;
-    progress.shards.resize(1);
-    progress.shards[0].service = route.targets[target_picker.Pick(route.targets)].service;
-  }
+  this->AssignShards(progress);
   const int urgency = ComputeUrgency(route, false);
   std::size_t servable_shards = 0;
   std::size_t shards_within_limits = 0;
   Duration longest_block{};
-  for (Shard& shard : progress.shards) {
-    shard.service_hash = StableHash(shard.service.value);
+  for (const Shard& shard : progress.shards) {
     const Duration block_time_left =
         this->call_crash_guard.GetBlockTimeLeft(progress.call.fingerprint, shard.service_hash, now);
     longest_block = std::max(longest_block, block_time_left);
@@ -89,6 +78,24 @@
   return true;
 }
 
+void Coordinator::AssignShards(CallProgress& progress) {
+  const Route& route = *progress.route;
+  if (route.fan_out()) {
+    progress.shards.resize(route.shards.size());
+    for (std::size_t i = 0; i < route.shards.size(); ++i) {
+      progress.shards[i].service = route.shards[i];
+    }
+  } else {
+    WeightedRoundRobin& target_picker =
+        this->target_pickers.try_emplace(route.name, this->random.Next()).first->second;
+    progress.shards.resize(1);
+    progress.shards[0].service = route.targets[target_picker.Pick(route.targets)].service;
+  }
+  for (Shard& shard : progress.shards) {
+    shard.service_hash = StableHash(shard.service.value);
+  }
+}
+
 // Refuses the call before anything is sent, so that it uses no part of the limits.
 void Coordinator::RefuseForLimits(CallId id,
                                   CallProgress& progress,
