Review: add a case on body limits and connections that are idle while they change

Cause: the limits of the next request are taken when the previous one ends. Change: review/10; the stand-ins tell time-outs and ended connections apart.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -298,7 +298,10 @@
 
 
 class Caller:
-    """One kept connection of a caller to the front address of a VM."""
+    """One kept connection of a caller to the front address of a VM.
+
+    Status 0 of an answer: the connection ended without one; -1: the caller gave up.
+    """
 
     def __init__(self, lab, vm):
         self.lab, self.vm = lab, vm
@@ -310,7 +313,7 @@
         )
 
     async def ask(self, path, time_left_ms, method="GET", body=b""):
-        """Sends one request. Returns its answer, or None if the connection ended without one."""
+        """Sends one request and reads its answer."""
         request = self.lab.new_request_id()
         if self.writer is None:
             await self.connect()
@@ -324,14 +327,14 @@
         try:
             line, headers = await asyncio.wait_for(read_head(self.reader), time_left_ms / 1000)
             content = await self.reader.readexactly(int(headers.get("content-length", "0")))
+        except asyncio.TimeoutError:  # a subclass of OSError in newer versions
+            self.close()
+            self.lab.record(f"gave up: {request}")
+            return Answer(-1, {}, b"", request)
         except (asyncio.IncompleteReadError, ConnectionError, OSError) as error:
             self.close()
             self.lab.record(f"ended: {request} connection ended without an answer ({error!r})")
             return Answer(0, {}, b"", request)
-        except asyncio.TimeoutError:
-            self.close()
-            self.lab.record(f"gave up: {request}")
-            return Answer(-1, {}, b"", request)
         if headers.get("connection", "").lower() == "close":
             self.close()
         answer = Answer(int(line.split(" ")[1]), headers, content, request)
@@ -472,7 +475,7 @@
             self.leaves.append(leaf)
             await leaf.start()
 
-    def config(self, routes, services):
+    def config(self, routes, services, max_body_bytes=262144):
         self.version += random.randint(1, 4)
         return json.dumps(
             {
@@ -486,16 +489,16 @@
                     for service in services
                 ],
                 "limits": {
-                    "maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+                    "maxHeaderBytes": 16384, "maxBodyBytes": max_body_bytes,
                     "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
                 },
             },
             separators=(",", ":"),
         ).encode()
 
-    async def put_config(self, routes, services):
+    async def put_config(self, routes, services, **limits):
         """The operator writes a configuration. Returns the time of the store's confirmation."""
-        text = self.config(routes, services)
+        text = self.config(routes, services, **limits)
         assert len(text) <= 1048576, "the configuration is above platform.valueBytes"
         revision = await self.store.put("op/config", text)
         self.record(f"operator: version {self.version}, {len(text)} bytes, revision {revision}")
@@ -515,6 +518,10 @@
                 self.record.say(f"{count} VMs are ready")
                 return
             await asyncio.sleep(0.1)
+        for vm in self.vms:
+            with open(os.path.join(self.folder, f"{vm.name}.log"), encoding="utf-8") as file:
+                log = file.read().splitlines()[-3:]
+            self.record.say(f"{vm.name}: exit code {vm.process.poll()}, its last lines: {log}")
         raise RuntimeError("the VMs did not become ready")
 
     async def close(self):
