--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -66,7 +66,7 @@
         self.revision = 100
         self.dropped = 0  # the newest revision whose event is no longer kept
         self.era = None  # Store-Era; None: the header is not sent
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # replaced at each change
         self.up = True
         self.largest_answer = 0
         self.connections = set()
@@ -81,8 +81,7 @@
         text = self.item(key, value, self.revision, created)
         self.items[key] = (value, self.revision, created, text)
         self.log.append((time.monotonic(), self.revision, key, text))
-        async with self.changed:
-            self.changed.notify_all()
+        self.announce()
         return self.revision
 
     async def remove(self, key):
@@ -92,8 +91,11 @@
         del self.items[key]
         text = json.dumps({"key": key, "revision": self.revision, "removed": True}).encode()
         self.log.append((time.monotonic(), self.revision, key, text))
-        async with self.changed:
-            self.changed.notify_all()
+        self.announce()
+
+    def announce(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def trim(self):
         oldest = time.monotonic() - HISTORY_S
@@ -158,11 +160,10 @@
             left = until - time.monotonic()
             if events or left <= 0:
                 return 200, events, b'{"events":[%s],"asOf":%d}' % (b",".join(events), self.revision)
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
 
     async def serve(self, reader, writer):
         if not self.up:
@@ -359,8 +360,9 @@
         self.front, self.ready, self.control = 8104, 8108, 8106
         self.process = None
         self.starts = 0
+        self.seeds = []
 
-    def write_settings(self, seeds):
+    def write_settings(self):
         self.path = os.path.join(self.lab.folder, self.name + ".conf")
         values = dict(
             self.lab.bounds,
@@ -376,8 +378,8 @@
                 "listen.ready": f"{self.address}:{self.ready}",
                 "listen.control": f"{self.address}:{self.control}",
                 "portRange": "7380,7395",
-                "seeds": ",".join(seeds),
-                "bootstrap": "true",
+                "seeds": ",".join(self.seeds),
+                "bootstrap": "true" if self.starts == 0 else "false",
                 "platform.address": f"{self.lab.store.address}:{self.lab.store.port}",
             },
         )
@@ -389,6 +391,7 @@
     def start(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             command = tomllib.load(file)["roles"]["node"]["run"].split()
+        self.write_settings()
         self.starts += 1
         self.output = open(os.path.join(self.lab.folder, f"{self.name}.log"), "ab")
         self.process = subprocess.Popen(
@@ -510,7 +513,7 @@
             self.vms.append(Vm(self, zone, number // len(self.zones) + 1))
         seeds = [f"{vm.address}:{vm.control}" for vm in self.vms[:3]]
         for vm in self.vms:
-            vm.write_settings(seeds)
+            vm.seeds = seeds
             vm.start()
         until = time.monotonic() + 15
         while time.monotonic() < until:
@@ -541,15 +544,20 @@
 
     async def main():
         lab = Lab(os.path.dirname(os.path.abspath(file)))
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)  # the processes are ended below
         try:
             held = await asyncio.wait_for(case(lab), limit_s)
             lab.record.say(f"trouble {'on' if TROUBLE else 'off'}: the rule {'held' if held else 'was broken'}")
             return 0 if held else 1
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             lab.record.say(f"the case could not run: {error!r}")
             return 2
         finally:
             await lab.close()
+            lab.record.file.close()
 
-    code = asyncio.run(main())
-    sys.exit(code)
+    code = asyncio.new_event_loop().run_until_complete(main())
+    sys.stdout.flush()
+    os._exit(code)  # the connections of the stand-ins need no orderly end
