--- a/include/ibishold/core.h
+++ b/include/ibishold/core.h
@@ -11,6 +11,8 @@
 //   5. Randomness     Random
 //   6. Text           ParseNumber, SplitText, TrimText, EqualsIgnoreCase
 //   7. Pauses         PauseDetector
+//   8. Revisions      Revision, FormatRevision, ChangeOrigin
+//   8. Revisions      Revision, FormatRevision
 
 #include <array>
 #include <charconv>
@@ -191,6 +193,40 @@
   TimePoint resumed_at{};
 };
 
+// ---- 8. Revisions -------------------------------------------------------------------------------
+
+// Position in the history of the platform's store. A store that is restored from an older copy
+// assigns numbers again that it had assigned to other changes; its epoch tells the two apart and
+// rises with each restoration.
+struct Revision {
+  std::uint64_t epoch = 0;   // 0 if the store states none
+  std::uint64_t number = 0;  // of the change, within the epoch; 0: no revision
+
+  constexpr Revision() = default;
+  // NOLINTNEXTLINE(google-explicit-constructor): the number is the revision if there are no epochs
+  constexpr Revision(std::uint64_t revision_number, std::uint64_t store_epoch = 0)
+      : epoch(store_epoch), number(revision_number) {}
+
+  constexpr bool none() const { return this->number == 0; }
+
+  friend constexpr bool operator==(const Revision&, const Revision&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14 on a defaulted <=>.
+  friend constexpr auto operator<=>(const Revision&, const Revision&) = default;
+};
+
+// "NUMBER" without an epoch, else "EPOCH.NUMBER".
+std::string FormatRevision(const Revision& revision);
+
+// How a change of a published document became known.
+enum class ChangeOrigin : std::uint8_t {
+  kPublisher,      // the publisher made it
+  kRestoredStore,  // found in a store that was restored from an older copy: the publisher may have
+                   // written something newer, which the store lost
+};
+
+inline constexpr std::array<std::string_view, 2> kChangeOriginNames = {"publisher",
+                                                                       "restored_store"};
+
 }  // namespace ibishold
 
 #endif  // IBISHOLD_CORE_H_
--- a/include/ibishold/fleet.h
+++ b/include/ibishold/fleet.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -35,9 +36,10 @@
 
 struct DocumentChange {
   std::string key;
-  std::string value;           // empty if removed
-  std::uint64_t revision = 0;  // the store's revision counter at this change
+  std::string value;  // empty if removed
+  Revision revision;  // of the store at this change
   bool removed = false;
+  ChangeOrigin origin = ChangeOrigin::kPublisher;
 };
 
 // ---- 2. DocumentMirror --------------------------------------------------------------------------
@@ -46,42 +48,48 @@
   std::size_t change_log_limit = 4096;  // changes kept for peers that lag behind
 };
 
-// The newest known state of all documents, ordered by the store's revision counter. An older
-// revision never replaces a newer one, whether it comes from the store or from a peer.
+// The newest known state of all documents, ordered by the store's revision. An older revision never
+// replaces a newer one, whether it comes from the store or from a peer. All documents are of one
+// epoch of the store: only a complete list leads from one epoch to the next.
 class DocumentMirror {
  public:
   explicit DocumentMirror(DocumentMirrorOptions options = {});
 
   // Applies the complete list of documents at revision `as_of`. A document that is missing from the
-  // list and is not newer than `as_of` has been removed. Returns the changes.
+  // list and is not newer than `as_of` has been removed. Returns the changes; those that a list of
+  // a newer epoch makes to known documents have the origin kRestoredStore.
   std::vector<DocumentChange> ApplyList(const std::vector<DocumentChange>& documents,
-                                        std::uint64_t as_of);
+                                        Revision as_of);
 
   // Applies all changes after the mirror's own as_of() up to revision `as_of`. Returns those that
-  // the mirror did not know yet.
+  // the mirror did not know yet. Changes of another epoch are ignored.
   std::vector<DocumentChange> ApplyChanges(const std::vector<DocumentChange>& changes,
-                                           std::uint64_t as_of);
+                                           Revision as_of);
 
   // Returns the changes after `revision`, or nothing if the change log does not reach back that
   // far.
-  std::optional<std::vector<DocumentChange>> ChangesAfter(std::uint64_t revision) const;
+  std::optional<std::vector<DocumentChange>> ChangesAfter(Revision revision) const;
 
   std::vector<DocumentChange> AllDocuments() const;
 
   // True once a list or changes have been applied, even if there are no documents.
-  bool initialized() const { return this->known_revision > 0; }
-  std::uint64_t as_of() const { return this->known_revision; }  // 0: nothing has been applied yet
+  bool initialized() const { return !this->known_revision.none(); }
+  Revision as_of() const { return this->known_revision; }  // none: nothing has been applied yet
   std::size_t size() const { return this->documents.size(); }
 
  private:
   bool Apply(const DocumentChange& change);
+  void RemoveUnlisted(const std::unordered_set<std::string>& listed_keys,
+                      Revision as_of,
+                      ChangeOrigin origin,
+                      std::vector<DocumentChange>& applied);
 
   DocumentMirrorOptions options;
   std::map<std::string, DocumentChange> documents;
-  std::map<std::string, std::uint64_t> removals;  // revision of the removal, by key
-  std::deque<DocumentChange> change_log;          // ordered by revision, oldest first
-  std::uint64_t change_log_begin = 0;             // the log holds all changes after this revision
-  std::uint64_t known_revision = 0;
+  std::map<std::string, Revision> removals;  // revision of the removal, by key
+  std::deque<DocumentChange> change_log;     // ordered by revision, oldest first
+  Revision change_log_begin;                 // the log holds all changes after this revision
+  Revision known_revision;
 };
 
 // ---- 3. PeerTable -------------------------------------------------------------------------------
@@ -287,7 +295,7 @@
 struct FeedAction {
   FeedStep step = FeedStep::kWait;
   TimePoint at{};
-  std::uint64_t after = 0;
+  Revision after;
   PeerAddress peer;       // for kAskPeer
   Duration wait{};        // for kWatch and kAskPeer: time that the source may wait for a change
   Duration time_limit{};  // the call has failed if its answer has not arrived after this time
@@ -303,6 +311,11 @@
 inline constexpr std::array<std::string_view, 4> kFeedOutcomeNames = {"news", "history_gone",
                                                                       "refused", "failed"};
 
+// The outcome of an answer of the store that could be read, judged by its epoch: an answer of an
+// older epoch than the known one is refused, and one of a newer epoch cannot continue what was read
+// before. `continues` is true for an answer to a watch and for a further page of a list.
+FeedOutcome JudgeEpoch(std::uint64_t epoch, std::uint64_t known_epoch, bool continues);
+
 // Decides when and where to read documents. A watcher reads the store; other VMs wait for changes
 // at a watcher. A VM that cannot reach its own source tries the other one.
 class DocumentFeed {
@@ -311,20 +324,17 @@
 
   // The next call to make. kWait while a call is in progress (`at` is TimePoint::max()) or while
   // the next call is not due.
-  FeedAction Next(std::uint64_t as_of, const FleetPlan& plan, TimePoint now);
+  FeedAction Next(Revision as_of, const FleetPlan& plan, TimePoint now);
   void OnStarted(const FeedAction& action, TimePoint now);
   // Ends the call in progress. `peer_in_touch` is what a peer stated about its own source (see
   // in_touch()); it is ignored for calls to the store.
   void OnEnded(FeedOutcome outcome, bool peer_in_touch, TimePoint now);
 
   // Another VM announced the revision up to which it knows all documents.
-  void OnPeerRevision(const PeerAddress& peer,
-                      std::uint64_t their_as_of,
-                      std::uint64_t as_of,
-                      TimePoint now);
+  void OnPeerRevision(const PeerAddress& peer, Revision their_as_of, Revision as_of, TimePoint now);
   // True if the caller must abandon the call in progress (OnEnded with kFailed), because its source
   // has not delivered changes that another VM knows. The next call then goes to that VM.
-  bool ShouldAbandonCall(std::uint64_t as_of, TimePoint now);
+  bool ShouldAbandonCall(Revision as_of, TimePoint now);
 
   // The most recent call to the store succeeded.
   bool store_in_touch() const { return this->failures == 0 && this->store_succeeded; }
@@ -334,7 +344,7 @@
 
  private:
   std::optional<PeerAddress> ChoosePeer(const FleetPlan& plan, TimePoint now);
-  FeedAction MakePeerCall(const PeerAddress& peer, std::uint64_t as_of, TimePoint now) const;
+  FeedAction MakePeerCall(const PeerAddress& peer, Revision as_of, TimePoint now) const;
 
   DocumentFeedOptions options;
   Random random;
@@ -348,7 +358,7 @@
   FeedAction current;
   struct NewerPeer {
     PeerAddress peer;  // the last one to announce the highest revision
-    std::uint64_t as_of = 0;
+    Revision as_of;
     TimePoint since{};
   };
   std::optional<NewerPeer> newer_peer;   // a VM that knows a newer revision than this one
@@ -365,7 +375,7 @@
   Peer sender;
   std::vector<PeerReport> peers;
   std::vector<CallRefusal> refusals;        // fingerprints of calls that crash leaves
-  std::uint64_t documents_as_of = 0;        // the sender knows all documents up to this revision
+  Revision documents_as_of;                 // the sender knows all documents up to this revision
   std::vector<SilentLeaf> silent_leaves;    // just detected by the sender
   std::vector<LeavingLeaf> leaving_leaves;  // announced in the last seconds
   std::vector<LeafCrash> crashes;           // just detected by the sender
@@ -385,7 +395,7 @@
 std::optional<UsageMessage> DecodeUsage(std::string_view bytes);
 
 struct DocumentUpdate {
-  std::uint64_t as_of = 0;
+  Revision as_of;         // the changes are of the same epoch
   bool complete = false;  // `changes` lists all documents; else the changes after the requested one
   bool in_touch = false;  // the sender's own source is answering
   std::vector<DocumentChange> changes;
--- a/include/ibishold/leaf_policy.h
+++ b/include/ibishold/leaf_policy.h
@@ -247,7 +247,7 @@
   void SetColdUntil(const LeafId& leaf, TimePoint until, TimePoint now);
   // Records that another leaf answers at this leaf's address. The leaf is unusable until its
   // published entry has a revision above this one.
-  void MarkMisplaced(const LeafId& leaf, std::uint64_t revision);
+  void MarkMisplaced(const LeafId& leaf, Revision revision);
   bool IsMisplaced(const LeafEntry& leaf) const;
 
  private:
@@ -267,7 +267,7 @@
     TimePoint cold_until{};
     TimePoint warm_up_tokens_updated_at{};
     double warm_up_tokens = 0;
-    std::uint64_t misplaced_revision = 0;
+    Revision misplaced_revision;
     TimePoint replied_at{};             // newest answer to this VM
     TimePoint silent_until{};           // the leaf is avoided until then
     int consecutive_silences = 0;       // with no answer in between
--- a/include/ibishold/node.h
+++ b/include/ibishold/node.h
@@ -54,7 +54,9 @@
   { Platform::FindReplyOwner(reply, text) } -> std::same_as<ReplyMatch>;
   { Platform::EncodeAnswer(answer) } -> std::same_as<CallerReply>;
   { Platform::BuildListRequest(text, text) } -> std::same_as<HttpRequest>;
-  { Platform::BuildWatchRequest(text, change.revision, duration) } -> std::same_as<HttpRequest>;
+  {
+    Platform::BuildWatchRequest(text, change.revision.number, duration)
+    } -> std::same_as<HttpRequest>;
 };
 
 // ---- 2. NodeOptions -----------------------------------------------------------------------------
@@ -88,7 +90,7 @@
   AllowanceGateOptions allowance_gate;
   UsageLedgerOptions usage_ledger;
   // Most entries of each kind in one gossip datagram, so that it fits into one Ethernet frame.
-  std::size_t max_silent_leaves = 24;
+  std::size_t max_silent_leaves = 22;
   std::size_t max_leaving_leaves = 8;
   std::size_t max_crashes = 12;
   std::size_t max_refusals = 8;
@@ -142,7 +144,7 @@
   // A peer's long poll for documents newer than the revision `after`.
   struct PeerDocumentRequest {
     std::uint64_t ticket = 0;
-    std::uint64_t after = 0;
+    Revision after;
     TimePoint until{};
   };
 
@@ -218,11 +220,16 @@
                         Duration limit);
   void OnPeerDocuments(const HttpReply& reply);
   void OnStoreReply(FeedStep step, const HttpReply& reply);
+  void ApplyCompleteList(const std::vector<DocumentChange>& documents,
+                         Revision as_of,
+                         bool peer_in_touch);
   void FailFeedRequest(std::string_view cause);
   void EndFeedRequest(FeedOutcome outcome, bool peer_in_touch, std::string_view detail);
   void ApplyDocuments(const std::vector<DocumentChange>& changes);
   void ApplyRoutes(const DocumentChange& change);
   DirectoryEvent ApplyLeaf(const LeafId& id, const DocumentChange& change);
+  void ApplyEvacuation(const DataCentre& data_centre, const DocumentChange& change, TimePoint now);
+  void ApplyDeferredChanges(TimePoint now);
   void LogDirectoryEvents(const std::vector<DirectoryEvent>& events);
   void OpenLeafConnections();
 
@@ -290,7 +297,7 @@
   std::shared_ptr<ClientConnection> feed_connection;  // to the store or to a peer
   std::string feed_host;                              // address and port that it is connected to
   std::vector<DocumentChange> listed_documents;       // from the pages of the list in progress
-  std::uint64_t list_revision = 0;                    // as_of of the first page of that list
+  Revision list_revision;                             // as_of of the first page of that list
   FeedAction feed_action;                             // feed request in progress, or the last one
   TimePoint feed_started_at{};                        // start of that request
   std::optional<HttpRequest> pending_feed_request;    // sent once the connection is open
--- a/include/ibishold/routing.h
+++ b/include/ibishold/routing.h
@@ -127,7 +127,8 @@
   Duration warm_up_left{};  // remaining warm-up time when the entry was written
   // Start time, ms since 1970; differs between two runs with the same id.
   std::uint64_t started = 0;
-  std::uint64_t revision = 0;  // of the entry; a higher revision is newer
+  std::uint64_t sequence = 0;  // rises with each statement of one run of the leaf; 0: unknown
+  Revision revision;           // of the entry
 };
 
 // ---- 5. LeafDirectory ---------------------------------------------------------------------------
@@ -139,6 +140,13 @@
   Duration removal_delay = std::chrono::milliseconds(2300);
   // Removals are deferred for this long after a failed or refused call to the source.
   Duration source_failure_window = std::chrono::seconds(4);
+  // Time in which publishers write again what a restored store has lost. Until then, older
+  // statements that the store holds are not applied. Exceeds three report intervals of a leaf,
+  // after which the store deletes the entry of a leaf that has stopped.
+  Duration rewrite_time = std::chrono::seconds(6);
+  // Time for which removed leaves are remembered. Exceeds the age of the copy that a store is
+  // restored from.
+  Duration removal_memory = std::chrono::seconds(60);
 };
 
 enum class DirectoryChange : std::uint8_t {
@@ -149,43 +157,60 @@
   kRemoved,
   kRemovalDeferred,
   kRemovalCancelled,
+  kUpdateDeferred,
   kUnchanged
 };
 
-inline constexpr std::array<std::string_view, 8> kDirectoryChangeNames = {
-    "added", "restarted", "draining", "ready", "removed", "removal_deferred", "kept", "unchanged"};
+inline constexpr std::array<std::string_view, 9> kDirectoryChangeNames = {
+    "added", "restarted",       "draining", "ready", "removed", "removal_deferred",
+    "kept",  "update_deferred", "unchanged"};
 
 struct DirectoryEvent {
   DirectoryChange change = DirectoryChange::kUnchanged;
   LeafId leaf;
   ServiceName service;
-  std::uint64_t revision = 0;  // of the change that caused the event
+  Revision revision;  // of the change that caused the event
 };
 
 // Holds the published entries of all leaves. Changes that take a leaf out of use (draining,
 // removed, data centre evacuated) take effect at once, except for removals that arrive soon after a
 // failure of the source: these are deferred by removal_delay.
+//
+// A store that was restored from an older copy shows older states as if they were new. Of such
+// changes, those that would remove a leaf, undo what a leaf stated later or end an evacuation are
+// deferred by rewrite_time, and given up if the publisher states something meanwhile.
 class LeafDirectory {
  public:
   explicit LeafDirectory(LeafDirectoryOptions options = {});
 
-  DirectoryEvent Put(const LeafEntry& entry, TimePoint now);
-  DirectoryEvent Remove(const LeafId& id, std::uint64_t revision, TimePoint now);
+  DirectoryEvent Put(const LeafEntry& entry,
+                     TimePoint now,
+                     ChangeOrigin origin = ChangeOrigin::kPublisher);
+  DirectoryEvent Remove(const LeafId& id,
+                        Revision revision,
+                        TimePoint now,
+                        ChangeOrigin origin = ChangeOrigin::kPublisher);
 
   // Applies the complete list at `revision`: leaves that it does not contain are removed. Returns
   // only the events of entries that changed.
   std::vector<DirectoryEvent> ReplaceAll(const std::vector<LeafEntry>& entries,
-                                         std::uint64_t revision,
+                                         Revision revision,
                                          TimePoint now);
 
-  // Carries out the deferred removals that are due.
-  std::vector<DirectoryEvent> ApplyDeferredRemovals(TimePoint now);
+  // Carries out the deferred changes of leaves that are due.
+  std::vector<DirectoryEvent> ApplyDeferredChanges(TimePoint now);
 
   // A call to the source of the entries failed or was refused; defers removals for a time.
   void OnSourceFailure(TimePoint now);
 
-  // Sets the data centres whose leaves receive no new work.
-  void SetEvacuated(std::unordered_set<std::string> data_centres);
+  // The leaves of an evacuated data centre receive no new work.
+  void BeginEvacuation(const DataCentre& data_centre);
+  // Returns false if the end is deferred.
+  bool EndEvacuation(const DataCentre& data_centre,
+                     TimePoint now,
+                     ChangeOrigin origin = ChangeOrigin::kPublisher);
+  // Ends the evacuations whose deferred end is due, and returns their data centres.
+  std::vector<DataCentre> ApplyDeferredEvacuationEnds(TimePoint now);
   bool evacuated(const DataCentre& data_centre) const;
 
   // Leaves that may receive new work, in a stable order. Pointers stay valid until the next change.
@@ -204,16 +229,30 @@
   struct Leaf {
     LeafEntry entry;
     std::optional<TimePoint> remove_at;  // deferred removal
-    std::uint64_t removal_revision = 0;
+    Revision removal_revision;
+  };
+  struct RemovedLeaf {
+    std::uint64_t started = 0;
+    std::uint64_t sequence = 0;  // last one known
+    TimePoint removed_at{};
+  };
+  struct DeferredEntry {
+    LeafEntry entry;
+    TimePoint apply_at{};
   };
 
-  DirectoryEvent Erase(const LeafId& id, std::uint64_t revision);
+  bool MayUndoKnown(const LeafEntry& entry) const;
+  DirectoryEvent Defer(const LeafEntry& entry, TimePoint now);
+  DirectoryEvent Erase(const LeafId& id, Revision revision, TimePoint now);
   bool source_doubtful(TimePoint now) const;
 
   LeafDirectoryOptions options;
   std::unordered_map<LeafId, Leaf, absl::Hash<LeafId>> leaves;
   std::unordered_map<ServiceName, std::vector<LeafId>, absl::Hash<ServiceName>> by_service;
-  std::unordered_set<std::string> evacuated_centres;
+  std::unordered_map<LeafId, DeferredEntry, absl::Hash<LeafId>> deferred_entries;
+  std::unordered_map<LeafId, RemovedLeaf, absl::Hash<LeafId>> removed_leaves;
+  // By data centre: the deferred end of its evacuation; nothing while the evacuation is in force.
+  std::unordered_map<std::string, std::optional<TimePoint>> evacuations;
   std::optional<TimePoint> source_failed_at;
 };
 
--- a/schema/ibishold.capnp
+++ b/schema/ibishold.capnp
@@ -253,6 +253,7 @@
   refusals @7 :List(CallRefusal);       # calls that crash leaves
   crashes @8 :List(LeafCrash);          # leaves that have just crashed while they ran a call
   limits @9 :List(LeafLimit);           # request rates that leaves state as their limits
+  documentsEpoch @10 :UInt64;           # epoch of documentsAsOf
 }
 
 struct TenantState {
@@ -329,6 +330,7 @@
   complete @1 :Bool;                    # the list is whole; else changes after the asked revision
   inTouch @2 :Bool;                     # the sender reads the platform's store without failures
   changes @3 :List(DocumentChange);
+  epoch @4 :UInt64;                     # of the store, for asOf and the changes
 }
 
 struct DocumentChange {
--- a/schema/ibishold.capnp.h
+++ b/schema/ibishold.capnp.h
@@ -540,7 +540,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 1, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(d8727c35eef01af1, 2, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -690,7 +690,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c98bd7c8cc687f68, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c98bd7c8cc687f68, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3553,6 +3553,8 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline  ::uint64_t getDocumentsEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3648,6 +3650,9 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::LeafLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline  ::uint64_t getDocumentsEpoch();
+  inline void setDocumentsEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4550,6 +4555,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::ibishold::wire::DocumentChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4594,6 +4601,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::ibishold::wire::DocumentChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ibishold::wire::DocumentChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8526,6 +8536,20 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerGossip::Reader::getDocumentsEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerGossip::Builder::getDocumentsEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerGossip::Builder::setDocumentsEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TenantState::Reader::getTenant() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9214,6 +9238,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t DocumentUpdate::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DocumentUpdate::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DocumentUpdate::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DocumentChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/fleet/document_feed.cc
+++ b/src/fleet/document_feed.cc
@@ -12,14 +12,21 @@
 
 }  // namespace
 
+FeedOutcome JudgeEpoch(std::uint64_t epoch, std::uint64_t known_epoch, bool continues) {
+  if (epoch < known_epoch) {
+    return FeedOutcome::kRefused;
+  }
+  return continues && epoch > known_epoch ? FeedOutcome::kHistoryGone : FeedOutcome::kApplied;
+}
+
 DocumentFeed::DocumentFeed(DocumentFeedOptions options, std::uint64_t random_seed)
     : options(options), random(random_seed) {}
 
-FeedAction DocumentFeed::Next(std::uint64_t as_of, const FleetPlan& plan, TimePoint now) {
+FeedAction DocumentFeed::Next(Revision as_of, const FleetPlan& plan, TimePoint now) {
   if (this->call_in_progress) {
     return {.step = FeedStep::kWait, .at = TimePoint::max()};
   }
-  const bool store_due = plan.self_watches || (as_of == 0 && this->options.ask_store_first);
+  const bool store_due = plan.self_watches || (as_of.none() && this->options.ask_store_first);
   if (this->next_peer) {
     const PeerAddress peer = *this->next_peer;
     this->next_peer.reset();
@@ -31,8 +38,8 @@
       return this->MakePeerCall(*peer, as_of, now);
     }
   }
-  const bool list = this->list_needed || as_of == 0;
-  if (as_of == 0) {
+  const bool list = this->list_needed || as_of.none();
+  if (as_of.none()) {
     this->store_not_before = std::min(this->store_not_before,
                                       this->store_failed_at + this->options.empty_mirror_backoff);
   }
@@ -47,7 +54,7 @@
             .at = now,
             .after = as_of,
             .time_limit =
-                as_of == 0 ? this->options.initial_store_timeout : this->options.store_timeout};
+                as_of.none() ? this->options.initial_store_timeout : this->options.store_timeout};
   }
   const Duration wait =
       this->last_store_call_served ? this->options.watch_wait : this->options.recheck_wait;
@@ -59,7 +66,7 @@
 }
 
 FeedAction DocumentFeed::MakePeerCall(const PeerAddress& peer,
-                                      std::uint64_t as_of,
+                                      Revision as_of,
                                       TimePoint now) const {
   return {.step = FeedStep::kAskPeer,
           .at = now,
@@ -87,10 +94,10 @@
 }
 
 void DocumentFeed::OnPeerRevision(const PeerAddress& peer,
-                                  std::uint64_t their_as_of,
-                                  std::uint64_t as_of,
+                                  Revision their_as_of,
+                                  Revision as_of,
                                   TimePoint now) {
-  if (as_of == 0 || their_as_of <= as_of) {
+  if (as_of.none() || their_as_of <= as_of) {
     return;
   }
   if (!this->newer_peer || this->newer_peer->as_of <= as_of) {
@@ -101,7 +108,7 @@
   }
 }
 
-bool DocumentFeed::ShouldAbandonCall(std::uint64_t as_of, TimePoint now) {
+bool DocumentFeed::ShouldAbandonCall(Revision as_of, TimePoint now) {
   if (!this->newer_peer) {
     return false;
   }
--- a/src/fleet/document_mirror.cc
+++ b/src/fleet/document_mirror.cc
@@ -11,9 +11,9 @@
 bool DocumentMirror::Apply(const DocumentChange& change) {
   const auto found = this->documents.find(change.key);
   const auto removal = this->removals.find(change.key);
-  const std::uint64_t known = found != this->documents.end()    ? found->second.revision
-                              : removal != this->removals.end() ? removal->second
-                                                                : 0;
+  const Revision known = found != this->documents.end()    ? found->second.revision
+                         : removal != this->removals.end() ? removal->second
+                                                           : Revision();
   if (change.revision <= known) {
     return false;
   }
@@ -33,39 +33,58 @@
 }
 
 std::vector<DocumentChange> DocumentMirror::ApplyList(const std::vector<DocumentChange>& listed,
-                                                      std::uint64_t as_of) {
+                                                      Revision as_of) {
   std::vector<DocumentChange> applied;
   if (as_of < this->known_revision) {
     return applied;
   }
+  const bool restored = this->initialized() && as_of.epoch > this->known_revision.epoch;
+  const ChangeOrigin origin = restored ? ChangeOrigin::kRestoredStore : ChangeOrigin::kPublisher;
+  if (restored) {
+    this->removals.clear();
+  }
   std::unordered_set<std::string> keys;
   for (const DocumentChange& document : listed) {
     keys.insert(document.key);
-    if (this->Apply(document)) {
+    const auto known = this->documents.find(document.key);
+    if (restored && known != this->documents.end() && known->second.value == document.value) {
+      known->second.revision = document.revision;
+    } else if (this->Apply(document)) {
       applied.push_back(document);
+      applied.back().origin = origin;
     }
   }
-  std::vector<DocumentChange> removed;
+  this->RemoveUnlisted(keys, as_of, origin, applied);
+  this->known_revision = as_of;
+  this->change_log.clear();
+  this->change_log_begin = as_of;
+  return applied;
+}
+
+void DocumentMirror::RemoveUnlisted(const std::unordered_set<std::string>& listed_keys,
+                                    Revision as_of,
+                                    ChangeOrigin origin,
+                                    std::vector<DocumentChange>& applied) {
+  std::vector<std::string> removed;
   for (const auto& [key, document] : this->documents) {
-    if (!keys.contains(key) && document.revision <= as_of) {
-      removed.push_back({.key = key, .revision = as_of, .removed = true});
+    if (!listed_keys.contains(key) && document.revision <= as_of) {
+      removed.push_back(key);
     }
   }
-  for (const DocumentChange& change : removed) {
+  for (const std::string& key : removed) {
     // The exact revision of the removal is unknown; as_of is the highest one possible.
-    this->documents.erase(change.key);
-    this->removals[change.key] = change.revision;
-    applied.push_back(change);
+    this->documents.erase(key);
+    this->removals[key] = as_of;
+    applied.push_back({.key = key, .revision = as_of, .removed = true, .origin = origin});
   }
-  this->known_revision = as_of;
-  this->change_log.clear();
-  this->change_log_begin = as_of;
-  return applied;
 }
 
 std::vector<DocumentChange> DocumentMirror::ApplyChanges(const std::vector<DocumentChange>& changes,
-                                                         std::uint64_t as_of) {
+                                                         Revision as_of) {
   std::vector<DocumentChange> applied;
+  if (as_of.epoch != this->known_revision.epoch) {
+    return applied;
+  }
   for (const DocumentChange& change : changes) {
     if (change.revision > this->known_revision) {
       this->change_log.push_back(change);
@@ -82,8 +101,7 @@
   return applied;
 }
 
-std::optional<std::vector<DocumentChange>> DocumentMirror::ChangesAfter(
-    std::uint64_t revision) const {
+std::optional<std::vector<DocumentChange>> DocumentMirror::ChangesAfter(Revision revision) const {
   if (revision < this->change_log_begin || !this->initialized()) {
     return std::nullopt;
   }
--- a/src/fleet/messages.cc
+++ b/src/fleet/messages.cc
@@ -141,7 +141,8 @@
   }
   EncodeTenantStates(message.tenant_states,
                      root.initTenantStates(static_cast<unsigned>(message.tenant_states.size())));
-  root.setDocumentsAsOf(message.documents_as_of);
+  root.setDocumentsAsOf(message.documents_as_of.number);
+  root.setDocumentsEpoch(message.documents_as_of.epoch);
   auto silent = root.initSilentLeaves(static_cast<unsigned>(message.silent_leaves.size()));
   for (unsigned i = 0; i < message.silent_leaves.size(); ++i) {
     silent[i].setLeaf(ToText(message.silent_leaves[i].leaf.value));
@@ -163,7 +164,7 @@
   GossipMessage message;
   const bool read = ReadMessage<wire::PeerGossip>(bytes, [&](wire::PeerGossip::Reader root) {
     message.sender = DecodePeerReport(root.getSender(), root.getDataCentres()).peer;
-    message.documents_as_of = root.getDocumentsAsOf();
+    message.documents_as_of = {root.getDocumentsAsOf(), root.getDocumentsEpoch()};
     for (const auto report : root.getPeers()) {
       message.peers.push_back(DecodePeerReport(report, root.getDataCentres()));
     }
@@ -205,7 +206,8 @@
 std::string EncodeDocumentUpdate(const DocumentUpdate& update) {
   capnp::MallocMessageBuilder builder;
   auto root = builder.initRoot<wire::DocumentUpdate>();
-  root.setAsOf(update.as_of);
+  root.setAsOf(update.as_of.number);
+  root.setEpoch(update.as_of.epoch);
   root.setComplete(update.complete);
   root.setInTouch(update.in_touch);
   auto changes = root.initChanges(static_cast<unsigned>(update.changes.size()));
@@ -214,7 +216,7 @@
     changes[i].setKey(ToText(change.key));
     changes[i].setValue(kj::ArrayPtr<const kj::byte>(
         reinterpret_cast<const kj::byte*>(change.value.data()), change.value.size()));
-    changes[i].setRevision(change.revision);
+    changes[i].setRevision(change.revision.number);
     changes[i].setRemoved(change.removed);
   }
   return SerializeMessage(builder);
@@ -224,7 +226,7 @@
   DocumentUpdate update;
   const bool read =
       ReadMessage<wire::DocumentUpdate>(bytes, [&](wire::DocumentUpdate::Reader root) {
-        update.as_of = root.getAsOf();
+        update.as_of = {root.getAsOf(), root.getEpoch()};
         update.complete = root.getComplete();
         update.in_touch = root.getInTouch();
         for (const auto change : root.getChanges()) {
@@ -232,7 +234,7 @@
           update.changes.push_back(
               {.key = ToString(change.getKey()),
                .value = std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
-               .revision = change.getRevision(),
+               .revision = {change.getRevision(), root.getEpoch()},
                .removed = change.getRemoved()});
         }
       });
--- a/src/leaf_policy/leaf_tracker.cc
+++ b/src/leaf_policy/leaf_tracker.cc
@@ -324,14 +324,14 @@
   condition.cold_until = std::max(condition.cold_until, until);
 }
 
-void LeafTracker::MarkMisplaced(const LeafId& leaf, std::uint64_t revision) {
+void LeafTracker::MarkMisplaced(const LeafId& leaf, Revision revision) {
   this->conditions[leaf].misplaced_revision = revision;
 }
 
 bool LeafTracker::IsMisplaced(const LeafEntry& leaf) const {
   const auto found = this->conditions.find(leaf.id);
   return found != this->conditions.end() && found->second.misplaced_revision >= leaf.revision &&
-         leaf.revision > 0;
+         !leaf.revision.none();
 }
 
 }  // namespace ibishold
--- a/src/node/node_calls.h
+++ b/src/node/node_calls.h
@@ -241,7 +241,7 @@
         {"fingerprint", absl::StrCat(absl::Hex(call.fingerprint))},
         {"route", call.route},
         {"routes_version", std::to_string(call.route_table_version)},
-        {"documents_as_of", std::to_string(this->mirror.as_of())},
+        {"documents_as_of", FormatRevision(this->mirror.as_of())},
         {"answer", std::string(ToName(kAnswerKindNames, call.kind))},
         {"reason", std::string(ToName(kAnswerReasonNames, call.reason))},
         {"took_ms", FormatMilliseconds(call.duration)},
@@ -295,7 +295,8 @@
   return absl::StrCat(
       "{\"vm\":\"", this->settings.vm.value, "\",\"ready\":", this->ready() ? "true" : "false",
       ",\"routes_version\":", routes ? routes->version : 0,
-      ",\"documents_as_of\":", this->mirror.as_of(),
+      ",\"documents_as_of\":", this->mirror.as_of().number,
+      ",\"documents_epoch\":", this->mirror.as_of().epoch,
       ",\"store_in_touch\":", this->store_in_touch ? "true" : "false", ",\"feed_step\":\"",
       std::string(ToName(kFeedStepNames, this->feed_action.step)),
       "\",\"feed_waited_ms\":", FormatMilliseconds(BootClock::now() - this->feed_started_at),
--- a/src/node/node_documents.h
+++ b/src/node/node_documents.h
@@ -9,8 +9,9 @@
 
 namespace ibishold {
 
-// Path at which a VM asks a peer for documents newer than a revision. The query is AFTER,WAIT_MS:
-// the revision, and how long the peer may wait for a change before it answers, in milliseconds.
+// Path at which a VM asks a peer for documents newer than a revision. The query is
+// AFTER,WAIT_MS,EPOCH: the revision's number, how long the peer may wait for a change before it
+// answers, in milliseconds, and the revision's epoch.
 inline constexpr const char* kDocumentsPath = "/ibishold/documents";
 
 template <PlatformTranslation Platform>
@@ -36,17 +37,18 @@
   const std::string host = absl::StrCat(store_endpoint.address, ":", store_endpoint.port);
   if (action.step == FeedStep::kList) {
     this->listed_documents.clear();
-    this->list_revision = 0;
+    this->list_revision = {};
     this->StartFeedRequest(Platform::BuildListRequest(host, ""), store_endpoint.address,
                            store_endpoint.port, action.time_limit);
   } else if (action.step == FeedStep::kWatch) {
-    this->StartFeedRequest(Platform::BuildWatchRequest(host, action.after, action.wait),
+    this->StartFeedRequest(Platform::BuildWatchRequest(host, action.after.number, action.wait),
                            store_endpoint.address, store_endpoint.port, action.time_limit);
   } else {
     const std::string address = boost::asio::ip::address_v4(action.peer.ip).to_string();
     const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.wait).count();
     this->StartFeedRequest({.method = "GET",
-                            .target = absl::StrCat(kDocumentsPath, "?", action.after, ",", wait_ms),
+                            .target = absl::StrCat(kDocumentsPath, "?", action.after.number, ",",
+                                                   wait_ms, ",", action.after.epoch),
                             .host = address},
                            address, action.peer.port, action.time_limit);
   }
@@ -117,24 +119,59 @@
     this->EndFeedRequest(FeedOutcome::kRefused, false, absl::StrCat("status=", reply.status));
     return;
   }
-  std::vector<DocumentChange> changes;
+  // A peer that still has the documents of an older epoch is not up to date, whatever its source.
+  const bool in_touch = update->in_touch && update->as_of.epoch >= this->mirror.as_of().epoch;
   if (update->complete) {
-    changes = this->mirror.ApplyList(update->changes, update->as_of);
-  } else if (update->as_of > this->mirror.as_of()) {
+    this->ApplyCompleteList(update->changes, update->as_of, in_touch);
+    return;
+  }
+  std::vector<DocumentChange> changes;
+  if (update->as_of > this->mirror.as_of()) {
     changes = this->mirror.ApplyChanges(update->changes, update->as_of);
   }
-  this->EndFeedRequest(FeedOutcome::kApplied, update->in_touch, "");
+  this->EndFeedRequest(FeedOutcome::kApplied, in_touch, "");
+  this->ApplyDocuments(changes);
+}
+
+template <PlatformTranslation Platform>
+void Node<Platform>::ApplyCompleteList(const std::vector<DocumentChange>& documents,
+                                       Revision as_of,
+                                       bool peer_in_touch) {
+  const Revision known = this->mirror.as_of();
+  const auto changes = this->mirror.ApplyList(documents, as_of);
+  if (!known.none() && as_of.epoch > known.epoch) {
+    this->metrics
+        .AddCounter("ibishold_store_restorations_total",
+                    "Times that the store was found restored from an older copy")
+        .Add();
+    this->log.WriteUnthrottled(
+        "store_restored",
+        {{"source", this->feed_action.step == FeedStep::kAskPeer ? this->feed_host : "store"},
+         {"documents_as_of", FormatRevision(as_of)},
+         {"replaced", FormatRevision(known)},
+         {"changes", std::to_string(changes.size())}});
+  }
+  this->EndFeedRequest(FeedOutcome::kApplied, peer_in_touch, "");
   this->ApplyDocuments(changes);
 }
 
 template <PlatformTranslation Platform>
 void Node<Platform>::OnStoreReply(FeedStep step, const HttpReply& reply) {
-  auto result =
-      step == FeedStep::kList ? Platform::DecodeList(reply) : Platform::DecodeWatch(reply);
+  const std::uint64_t known_epoch = this->mirror.as_of().epoch;
+  auto result = step == FeedStep::kList ? Platform::DecodeList(reply, known_epoch)
+                                        : Platform::DecodeWatch(reply, known_epoch);
   if (result.outcome != FeedOutcome::kApplied) {
     this->EndFeedRequest(result.outcome, false, result.detail);
     return;
   }
+  const bool first_page = step == FeedStep::kList && this->list_revision.none();
+  const FeedOutcome by_epoch = JudgeEpoch(
+      result.page.as_of.epoch, std::max(known_epoch, this->list_revision.epoch), !first_page);
+  if (by_epoch != FeedOutcome::kApplied) {
+    this->EndFeedRequest(by_epoch, false,
+                         absl::StrCat("epoch ", result.page.as_of.epoch, " of the store"));
+    return;
+  }
   if (step == FeedStep::kWatch) {
     const auto changes = this->mirror.ApplyChanges(result.page.documents, result.page.as_of);
     this->EndFeedRequest(FeedOutcome::kApplied, false, "");
@@ -143,7 +180,7 @@
   }
   // The store may change between two pages, so the watch starts from the revision of the first page
   // and receives every change made since.
-  this->list_revision = this->list_revision == 0 ? result.page.as_of : this->list_revision;
+  this->list_revision = first_page ? result.page.as_of : this->list_revision;
   for (DocumentChange& document : result.page.documents) {
     this->listed_documents.push_back(std::move(document));
   }
@@ -153,10 +190,7 @@
         this->settings.store.address, this->settings.store.port, this->feed_action.time_limit);
     return;
   }
-  const auto changes =
-      this->mirror.ApplyList(std::exchange(this->listed_documents, {}), this->list_revision);
-  this->EndFeedRequest(FeedOutcome::kApplied, false, "");
-  this->ApplyDocuments(changes);
+  this->ApplyCompleteList(std::exchange(this->listed_documents, {}), this->list_revision, false);
 }
 
 template <PlatformTranslation Platform>
@@ -193,7 +227,7 @@
       {"source", peer ? this->feed_host : "store"},
       {"cause", std::string(detail)},
       {"waited_ms", FormatMilliseconds(now - this->feed_started_at)},
-      {"documents_as_of", std::to_string(this->mirror.as_of())}};
+      {"documents_as_of", FormatRevision(this->mirror.as_of())}};
   if (!peer && this->store_in_touch != this->feed.store_in_touch()) {
     this->store_in_touch = this->feed.store_in_touch();
     this->log.WriteUnthrottled(this->store_in_touch ? "store_regained" : "store_lost", fields);
@@ -208,7 +242,7 @@
 
 template <PlatformTranslation Platform>
 void Node<Platform>::ApplyDocuments(const std::vector<DocumentChange>& changes) {
-  bool evacuations_changed = false;
+  const TimePoint now = BootClock::now();
   std::vector<DirectoryEvent> leaf_events;
   this->AnswerDocumentRequests(false);
   for (const DocumentChange& change : changes) {
@@ -218,23 +252,26 @@
     } else if (name.kind == Platform::DocumentKind::kLeaf) {
       leaf_events.push_back(this->ApplyLeaf(LeafId(name.name), change));
     } else if (name.kind == Platform::DocumentKind::kEvacuation) {
-      evacuations_changed = true;
-      this->log.WriteUnthrottled("evacuation", {{"data_centre", name.name},
-                                                {"outcome", change.removed ? "ended" : "begun"},
-                                                {"revision", std::to_string(change.revision)}});
+      this->ApplyEvacuation(DataCentre(name.name), change, now);
     }
   }
   this->LogDirectoryEvents(leaf_events);
-  if (evacuations_changed) {
-    std::unordered_set<std::string> data_centres;
-    for (const DocumentChange& document : this->mirror.AllDocuments()) {
-      const auto name = Platform::ParseDocumentKey(document.key);
-      if (name.kind == Platform::DocumentKind::kEvacuation) {
-        data_centres.insert(name.name);
-      }
-    }
-    this->directory.SetEvacuated(std::move(data_centres));
+}
+
+template <PlatformTranslation Platform>
+void Node<Platform>::ApplyEvacuation(const DataCentre& data_centre,
+                                     const DocumentChange& change,
+                                     TimePoint now) {
+  std::string_view outcome = "begun";
+  if (!change.removed) {
+    this->directory.BeginEvacuation(data_centre);
+  } else {
+    outcome =
+        this->directory.EndEvacuation(data_centre, now, change.origin) ? "ended" : "end_deferred";
   }
+  this->log.WriteUnthrottled("evacuation", {{"data_centre", data_centre.value},
+                                            {"outcome", std::string(outcome)},
+                                            {"revision", FormatRevision(change.revision)}});
 }
 
 template <PlatformTranslation Platform>
@@ -246,7 +283,7 @@
   auto table = Platform::DecodeRoutes(change.value, skipped);
   for (const std::string& problem : skipped) {
     this->log.Write("route_skipped",
-                    {{"problem", problem}, {"revision", std::to_string(change.revision)}});
+                    {{"problem", problem}, {"revision", FormatRevision(change.revision)}});
   }
   const auto& current = this->coordinator.routes();
   const bool older = table.ok() && current && table->version <= current->version;
@@ -257,7 +294,7 @@
                               {"version", table.ok() ? std::to_string(table->version) : "unknown"},
                               {"replaced", current ? std::to_string(current->version) : "none"},
                               {"routes", table.ok() ? std::to_string(table->routes.size()) : "0"},
-                              {"revision", std::to_string(change.revision)}});
+                              {"revision", FormatRevision(change.revision)}});
   if (!table.ok() || older) {
     return;
   }
@@ -270,7 +307,7 @@
 DirectoryEvent Node<Platform>::ApplyLeaf(const LeafId& id, const DocumentChange& change) {
   const TimePoint now = BootClock::now();
   if (change.removed) {
-    DirectoryEvent event = this->directory.Remove(id, change.revision, now);
+    DirectoryEvent event = this->directory.Remove(id, change.revision, now, change.origin);
     if (event.change == DirectoryChange::kRemoved) {
       this->coordinator.tracker().Forget(id);
     }
@@ -280,10 +317,13 @@
   if (!entry.ok()) {
     this->log.Write("leaf_entry_skipped", {{"leaf", id.value},
                                            {"problem", std::string(entry.status().message())},
-                                           {"revision", std::to_string(change.revision)}});
+                                           {"revision", FormatRevision(change.revision)}});
     return {};
   }
-  DirectoryEvent event = this->directory.Put(*entry, now);
+  DirectoryEvent event = this->directory.Put(*entry, now, change.origin);
+  if (event.change == DirectoryChange::kUpdateDeferred) {
+    return event;
+  }
   if (event.change == DirectoryChange::kRestarted) {
     this->coordinator.tracker().Forget(id);
   }
@@ -293,13 +333,29 @@
   return event;
 }
 
+template <PlatformTranslation Platform>
+void Node<Platform>::ApplyDeferredChanges(TimePoint now) {
+  const std::vector<DirectoryEvent> events = this->directory.ApplyDeferredChanges(now);
+  for (const DirectoryEvent& event : events) {
+    if (event.change == DirectoryChange::kRemoved || event.change == DirectoryChange::kRestarted) {
+      this->coordinator.tracker().Forget(event.leaf);
+    }
+  }
+  this->LogDirectoryEvents(events);
+  for (const DataCentre& data_centre : this->directory.ApplyDeferredEvacuationEnds(now)) {
+    this->log.WriteUnthrottled("evacuation", {{"data_centre", data_centre.value},
+                                              {"outcome", "ended"},
+                                              {"revision", FormatRevision(this->mirror.as_of())}});
+  }
+}
+
 template <PlatformTranslation Platform>
 void Node<Platform>::LogDirectoryEvents(const std::vector<DirectoryEvent>& events) {
   // The first list after the start, or a new partition of the index, changes many leaves at once
   // and is logged as one line of counts.
   constexpr std::size_t kMaxSingleEvents = 16;
   std::map<std::string_view, std::size_t> counts;  // by name of the change
-  std::uint64_t newest = 0;
+  Revision newest;
   const auto changed = static_cast<std::size_t>(std::count_if(
       events.begin(), events.end(),
       [](const DirectoryEvent& event) { return event.change != DirectoryChange::kUnchanged; }));
@@ -316,7 +372,7 @@
     this->log.Write("leaf", {{"leaf", event.leaf.value},
                              {"service", event.service.value},
                              {"change", std::string(change)},
-                             {"revision", std::to_string(event.revision)}});
+                             {"revision", FormatRevision(event.revision)}});
   }
   if (counts.empty()) {
     return;
@@ -326,7 +382,7 @@
   for (const auto& [change, count] : counts) {
     fields.push_back({change, std::to_string(count)});
   }
-  fields.push_back({"revision", std::to_string(newest)});
+  fields.push_back({"revision", FormatRevision(newest)});
   this->log.Write("leaves", fields);
 }
 
--- a/src/node/node_lifecycle.h
+++ b/src/node/node_lifecycle.h
@@ -288,11 +288,7 @@
 void Node<Platform>::Tick() {
   const TimePoint now = BootClock::now();
   this->pause_detector.OnTick(now);
-  const std::vector<DirectoryEvent> expired = this->directory.ApplyDeferredRemovals(now);
-  for (const DirectoryEvent& event : expired) {
-    this->coordinator.tracker().Forget(event.leaf);
-  }
-  this->LogDirectoryEvents(expired);
+  this->ApplyDeferredChanges(now);
   if (this->stop_started_at) {
     this->AdvanceStop();
   }
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -241,13 +241,14 @@
                   ',');
     const auto after = ParseNumber<std::uint64_t>(numbers[0]);
     const auto wait_ms = numbers.size() > 1 ? ParseNumber<std::uint32_t>(numbers[1]) : std::nullopt;
-    if (!after || !wait_ms) {
+    const auto epoch = numbers.size() > 2 ? ParseNumber<std::uint64_t>(numbers[2]) : 0;
+    if (!after || !wait_ms || !epoch) {
       this->peer_port.Reply(ticket, {.status = 400});
       return;
     }
     this->peer_document_requests.push_back(
         {.ticket = ticket,
-         .after = *after,
+         .after = {*after, *epoch},
          .until = BootClock::now() + std::chrono::milliseconds(*wait_ms)});
     this->AnswerDocumentRequests(false);
     return;
--- a/src/routing/leaf_directory.cc
+++ b/src/routing/leaf_directory.cc
@@ -7,12 +7,16 @@
 
 LeafDirectory::LeafDirectory(LeafDirectoryOptions options) : options(options) {}
 
-DirectoryEvent LeafDirectory::Put(const LeafEntry& entry, TimePoint /*now*/) {
+DirectoryEvent LeafDirectory::Put(const LeafEntry& entry, TimePoint now, ChangeOrigin origin) {
+  if (origin == ChangeOrigin::kRestoredStore && this->MayUndoKnown(entry)) {
+    return this->Defer(entry, now);
+  }
   DirectoryEvent event = {.leaf = entry.id, .service = entry.service, .revision = entry.revision};
   const auto found = this->leaves.find(entry.id);
   if (found == this->leaves.end()) {
     this->leaves[entry.id].entry = entry;
     this->by_service[entry.service].push_back(entry.id);
+    this->deferred_entries.erase(entry.id);
     event.change = DirectoryChange::kAdded;
     return event;
   }
@@ -20,9 +24,10 @@
   if (entry.revision <= leaf.entry.revision || entry.revision <= leaf.removal_revision) {
     return event;
   }
+  this->deferred_entries.erase(entry.id);
   if (leaf.entry.service != entry.service) {
-    this->Erase(entry.id, entry.revision);
-    return this->Put(entry, {});
+    this->Erase(entry.id, entry.revision, now);
+    return this->Put(entry, now);
   }
   if (leaf.remove_at) {
     leaf.remove_at.reset();
@@ -38,7 +43,36 @@
   return event;
 }
 
-DirectoryEvent LeafDirectory::Remove(const LeafId& id, std::uint64_t revision, TimePoint now) {
+// True if the leaf is known to have stated something at the time of the entry or later, unless the
+// entry takes the known run of the leaf out of use.
+bool LeafDirectory::MayUndoKnown(const LeafEntry& entry) const {
+  const auto stated = std::pair(entry.started, entry.sequence);
+  if (const auto found = this->leaves.find(entry.id); found != this->leaves.end()) {
+    const LeafEntry& known = found->second.entry;
+    const bool drains = entry.state == LeafState::kDraining && entry.started == known.started;
+    return !drains && stated <= std::pair(known.started, known.sequence);
+  }
+  const auto removed = this->removed_leaves.find(entry.id);
+  return removed != this->removed_leaves.end() &&
+         stated <= std::pair(removed->second.started, removed->second.sequence);
+}
+
+DirectoryEvent LeafDirectory::Defer(const LeafEntry& entry, TimePoint now) {
+  if (const auto found = this->leaves.find(entry.id); found != this->leaves.end()) {
+    found->second.remove_at.reset();
+  }
+  this->deferred_entries[entry.id] = {.entry = entry, .apply_at = now + this->options.rewrite_time};
+  return {.change = DirectoryChange::kUpdateDeferred,
+          .leaf = entry.id,
+          .service = entry.service,
+          .revision = entry.revision};
+}
+
+DirectoryEvent LeafDirectory::Remove(const LeafId& id,
+                                     Revision revision,
+                                     TimePoint now,
+                                     ChangeOrigin origin) {
+  this->deferred_entries.erase(id);
   DirectoryEvent event = {.leaf = id, .revision = revision};
   const auto found = this->leaves.find(id);
   if (found == this->leaves.end() || revision <= found->second.entry.revision) {
@@ -46,19 +80,20 @@
   }
   Leaf& leaf = found->second;
   event.service = leaf.entry.service;
-  if (this->source_doubtful(now) && leaf.entry.state == LeafState::kReady) {
-    if (!leaf.remove_at) {
-      leaf.remove_at = now + this->options.removal_delay;
+  const bool restored = origin == ChangeOrigin::kRestoredStore;
+  if ((restored || this->source_doubtful(now)) && leaf.entry.state == LeafState::kReady) {
+    if (!leaf.remove_at || restored) {
+      leaf.remove_at = now + (restored ? this->options.rewrite_time : this->options.removal_delay);
       leaf.removal_revision = revision;
       event.change = DirectoryChange::kRemovalDeferred;
     }
     return event;
   }
-  return this->Erase(id, revision);
+  return this->Erase(id, revision, now);
 }
 
 std::vector<DirectoryEvent> LeafDirectory::ReplaceAll(const std::vector<LeafEntry>& entries,
-                                                      std::uint64_t revision,
+                                                      Revision revision,
                                                       TimePoint now) {
   std::vector<DirectoryEvent> events;
   std::unordered_set<std::string> listed;
@@ -81,17 +116,30 @@
   return events;
 }
 
-std::vector<DirectoryEvent> LeafDirectory::ApplyDeferredRemovals(TimePoint now) {
-  std::vector<DirectoryEvent> events;
-  std::vector<std::pair<LeafId, std::uint64_t>> due;
+std::vector<DirectoryEvent> LeafDirectory::ApplyDeferredChanges(TimePoint now) {
+  std::erase_if(this->removed_leaves, [&](const auto& item) {
+    return now - item.second.removed_at > this->options.removal_memory;
+  });
+  std::vector<std::pair<LeafId, Revision>> removals;
   for (const auto& [id, leaf] : this->leaves) {
     if (leaf.remove_at && *leaf.remove_at <= now) {
-      due.emplace_back(id, leaf.removal_revision);
+      removals.emplace_back(id, leaf.removal_revision);
     }
   }
-  events.reserve(due.size());
-  for (const auto& [id, revision] : due) {
-    events.push_back(this->Erase(id, revision));
+  std::vector<LeafEntry> updates;
+  for (const auto& [id, deferred] : this->deferred_entries) {
+    if (deferred.apply_at <= now) {
+      updates.push_back(deferred.entry);
+    }
+  }
+  std::vector<DirectoryEvent> events;
+  events.reserve(removals.size() + updates.size());
+  for (const auto& [id, revision] : removals) {
+    events.push_back(this->Erase(id, revision, now));
+  }
+  for (const LeafEntry& entry : updates) {
+    this->deferred_entries.erase(entry.id);
+    events.push_back(this->Put(entry, now));
   }
   return events;
 }
@@ -100,12 +148,36 @@
   this->source_failed_at = now;
 }
 
-void LeafDirectory::SetEvacuated(std::unordered_set<std::string> data_centres) {
-  this->evacuated_centres = std::move(data_centres);
+void LeafDirectory::BeginEvacuation(const DataCentre& data_centre) {
+  this->evacuations[data_centre.value] = std::nullopt;
+}
+
+bool LeafDirectory::EndEvacuation(const DataCentre& data_centre,
+                                  TimePoint now,
+                                  ChangeOrigin origin) {
+  const auto found = this->evacuations.find(data_centre.value);
+  if (origin == ChangeOrigin::kRestoredStore && found != this->evacuations.end()) {
+    found->second = now + this->options.rewrite_time;
+    return false;
+  }
+  this->evacuations.erase(data_centre.value);
+  return true;
+}
+
+std::vector<DataCentre> LeafDirectory::ApplyDeferredEvacuationEnds(TimePoint now) {
+  std::vector<DataCentre> ended;
+  std::erase_if(this->evacuations, [&](const auto& item) {
+    const bool due = item.second && *item.second <= now;
+    if (due) {
+      ended.emplace_back(item.first);
+    }
+    return due;
+  });
+  return ended;
 }
 
 bool LeafDirectory::evacuated(const DataCentre& data_centre) const {
-  return this->evacuated_centres.contains(data_centre.value);
+  return this->evacuations.contains(data_centre.value);
 }
 
 std::vector<const LeafEntry*> LeafDirectory::UsableLeaves(const ServiceName& service) const {
@@ -128,14 +200,17 @@
   return found == this->leaves.end() ? nullptr : &found->second.entry;
 }
 
-DirectoryEvent LeafDirectory::Erase(const LeafId& id, std::uint64_t revision) {
+DirectoryEvent LeafDirectory::Erase(const LeafId& id, Revision revision, TimePoint now) {
   DirectoryEvent event = {.leaf = id, .revision = revision};
   const auto found = this->leaves.find(id);
   if (found == this->leaves.end()) {
     return event;
   }
-  event.service = found->second.entry.service;
+  const LeafEntry& entry = found->second.entry;
+  event.service = entry.service;
   event.change = DirectoryChange::kRemoved;
+  this->removed_leaves[id] = {
+      .started = entry.started, .sequence = entry.sequence, .removed_at = now};
   std::erase(this->by_service[event.service], id);
   this->leaves.erase(found);
   return event;
--- a/tests/dispatch/coordinator_test.cc
+++ b/tests/dispatch/coordinator_test.cc
@@ -207,7 +207,8 @@
                               fixture.now, fixture.actions);
   };
   SUBCASE("when no leaf is usable") {
-    fixture.directory.SetEvacuated({"east", "west"});
+    fixture.directory.BeginEvacuation(DataCentre("east"));
+    fixture.directory.BeginEvacuation(DataCentre("west"));
     begin_sent_call();
     REQUIRE(fixture.GetAnswers().size() == 1);
     CHECK(fixture.GetAnswers()[0].kind == AnswerKind::kFailed);
--- a/tests/dispatch/leaf_notice_test.cc
+++ b/tests/dispatch/leaf_notice_test.cc
@@ -37,22 +37,23 @@
   CHECK(count_sends_to_first_leaf() == 0);
   SUBCASE("even if its entry is published as ready again") {
     LeafEntry entry = first_send.leaf;
-    entry.revision += 100;
+    entry.revision.number += 100;
     fixture.directory.Put(entry, fixture.now);
     CHECK(count_sends_to_first_leaf() == 0);
   }
   SUBCASE("even if its entry is removed and published again") {
     // Entries expire while the platform's store is unavailable and are published again afterwards.
-    fixture.directory.Remove(first_send.leaf.id, first_send.leaf.revision + 100, fixture.now);
+    fixture.directory.Remove(first_send.leaf.id, first_send.leaf.revision.number + 100,
+                             fixture.now);
     fixture.coordinator.tracker().Forget(first_send.leaf.id);
     LeafEntry entry = first_send.leaf;
-    entry.revision += 200;
+    entry.revision.number += 200;
     fixture.directory.Put(entry, fixture.now);
     CHECK(count_sends_to_first_leaf() == 0);
   }
   SUBCASE("but gets requests again after a restart") {
     LeafEntry entry = first_send.leaf;
-    entry.revision += 100;
+    entry.revision.number += 100;
     entry.started += 1;
     fixture.directory.Put(entry, fixture.now);
     CHECK(count_sends_to_first_leaf() > 0);
--- a/tests/fleet/document_feed_test.cc
+++ b/tests/fleet/document_feed_test.cc
@@ -131,4 +131,41 @@
   }
 }
 
+TEST_CASE("answers of a store that was restored from an older copy are judged by their epoch") {
+  // Guards against a watch that goes on across a restoration: the store has assigned the numbers
+  // after the known revision again, so its answer lacks the changes up to there.
+  for (const bool continues : {false, true}) {
+    CAPTURE(continues);
+    CHECK(JudgeEpoch(2, 2, continues) == FeedOutcome::kApplied);
+    CHECK(JudgeEpoch(1, 2, continues) == FeedOutcome::kRefused);
+  }
+  CHECK(JudgeEpoch(3, 2, false) == FeedOutcome::kApplied);
+  CHECK(JudgeEpoch(3, 2, true) == FeedOutcome::kHistoryGone);
+}
+
+TEST_CASE("a VM that knows an older epoch of the store than another VM") {
+  DocumentFeed feed({}, 1);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  const FleetPlan plan = {
+      .watchers = {kLocalWatcher}, .local_watcher_count = 1, .self_watches = true};
+  feed.OnStarted(feed.Next({}, plan, now), now);
+  feed.OnEnded(FeedOutcome::kApplied, false, now);
+  const Revision known = {100, 1};
+  feed.OnStarted(feed.Next(known, plan, now), now);
+  SUBCASE("asks that VM, although its revision has a lower number") {
+    feed.OnPeerRevision(kRemoteWatcher, {85, 2}, known, now);
+    now += milliseconds(800);
+    REQUIRE(feed.ShouldAbandonCall(known, now));
+    feed.OnEnded(FeedOutcome::kFailed, false, now);
+    const FeedAction action = feed.Next(known, plan, now);
+    CHECK(action.peer == kRemoteWatcher);
+    CHECK(action.after == known);
+  }
+  SUBCASE("is not asked for its higher number by a VM of the newer epoch") {
+    feed.OnPeerRevision(kRemoteWatcher, {200, 0}, known, now);
+    now += milliseconds(800);
+    CHECK_FALSE(feed.ShouldAbandonCall(known, now));
+  }
+}
+
 }  // namespace ibishold
--- a/tests/fleet/document_mirror_test.cc
+++ b/tests/fleet/document_mirror_test.cc
@@ -78,4 +78,57 @@
   }
 }
 
+TEST_CASE("a mirror whose store is restored from an older copy") {
+  // Guards against VMs that compare revisions of different epochs: the restored store assigned
+  // known numbers again, and no VM took the changes that it published under them (review/8).
+  DocumentMirror mirror;
+  mirror.ApplyList({{.key = "a", .value = "1", .revision = {3, 1}},
+                    {.key = "b", .value = "1", .revision = {5, 1}}},
+                   {5, 1});
+  mirror.ApplyChanges({{.key = "a", .value = "2", .revision = {9, 1}},
+                       {.key = "c", .value = "1", .revision = {10, 1}}},
+                      {10, 1});
+  const std::vector<DocumentChange> copy = {{.key = "a", .value = "1", .revision = {3, 2}},
+                                            {.key = "b", .value = "1", .revision = {5, 2}}};
+  const auto changes = mirror.ApplyList(copy, {5, 2});
+  CHECK(mirror.as_of() == Revision(5, 2));
+
+  SUBCASE("reports what the copy lacks, but not the documents that are the same") {
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].key == "a");
+    CHECK(changes[0].value == "1");
+    CHECK(changes[1].key == "c");
+    CHECK(changes[1].removed);
+    for (const DocumentChange& change : changes) {
+      CHECK(change.origin == ChangeOrigin::kRestoredStore);
+    }
+  }
+  SUBCASE("takes changes under numbers that were assigned before") {
+    const auto news = mirror.ApplyChanges({{.key = "b", .value = "2", .revision = {7, 2}}}, {7, 2});
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].origin == ChangeOrigin::kPublisher);
+  }
+  SUBCASE("drops lists and changes of the older epoch that arrive late, from whomever") {
+    CHECK(mirror.ApplyList({{.key = "d", .value = "1", .revision = {90, 1}}}, {99, 1}).empty());
+    CHECK(mirror.ApplyChanges({{.key = "d", .value = "1", .revision = {90, 1}}}, {99, 1}).empty());
+    CHECK(mirror.size() == 2);
+  }
+  SUBCASE("does not apply changes of a newer epoch without its complete list") {
+    CHECK(mirror.ApplyChanges({{.key = "b", .value = "3", .revision = {9, 3}}}, {9, 3}).empty());
+    CHECK(mirror.as_of() == Revision(5, 2));
+  }
+  SUBCASE("hands all documents to a peer that still has the older epoch") {
+    CHECK_FALSE(mirror.ChangesAfter({10, 1}).has_value());
+    DocumentMirror peer;
+    peer.ApplyList({{.key = "c", .value = "1", .revision = {10, 1}}}, {10, 1});
+    CHECK(peer.ApplyList(mirror.AllDocuments(), mirror.as_of()).size() == 3);
+    CHECK(peer.size() == 2);
+  }
+  SUBCASE("can be restored once more") {
+    mirror.ApplyChanges({{.key = "a", .value = "2", .revision = {6, 2}}}, {6, 2});
+    CHECK(mirror.ApplyList({{.key = "a", .value = "1", .revision = {3, 3}}}, {4, 3}).size() == 2);
+    CHECK(mirror.as_of() == Revision(4, 3));
+  }
+}
+
 }  // namespace ibishold
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -114,7 +114,8 @@
     gossip.peers.clear();
     gossip.refusals.clear();
     gossip.limits.clear();
-    gossip.silent_leaves.assign(12, {.leaf = LeafId("i-0123456789abcdef")});
+    gossip.silent_leaves.assign(NodeOptions{}.max_silent_leaves / 2,
+                                {.leaf = LeafId("i-0123456789abcdef")});
     gossip.leaving_leaves.assign(8, {.leaf = LeafId("i-0123456789abcdef")});
     gossip.crashes.assign(12, gossip.crashes[0]);
     CHECK(EncodeGossip(gossip).size() <= 1472);
@@ -137,6 +138,16 @@
     REQUIRE(read.has_value());
     CHECK(read->changes[0].value == update.changes[0].value);
   }
+  SUBCASE("revisions keep the epoch of the store") {
+    // Guards against peers that order the documents of a restored store by their numbers alone.
+    const GossipMessage gossip = {.documents_as_of = {85, 2}};
+    CHECK(DecodeGossip(EncodeGossip(gossip))->documents_as_of == gossip.documents_as_of);
+    const auto read = DecodeDocumentUpdate(EncodeDocumentUpdate(
+        {.as_of = {85, 2}, .changes = {{.key = "k", .value = "1", .revision = {81, 2}}}}));
+    REQUIRE(read.has_value());
+    CHECK(read->as_of == Revision(85, 2));
+    CHECK(read->changes[0].revision == Revision(81, 2));
+  }
   SUBCASE("a key with a zero byte is not taken for the key before that byte") {
     // Guards against an odd entry that replaces the entry of a leaf at the VMs that hear of it from
     // their peers.
--- a/tests/native/store_calls_test.cc
+++ b/tests/native/store_calls_test.cc
@@ -45,6 +45,19 @@
       CHECK(result.page.documents.back().key == "a");
     }
   }
+  SUBCASE(
+      "revisions are of the epoch that the store states, or of the known one if it states none") {
+    const std::string body =
+        R"({"items":[{"key":"a","value":"","revision":41}],"hasMore":false,"asOf":53})";
+    const StoreResult stated =
+        DecodeList({.status = 200, .headers = {{"store-era", "3"}}, .body = body}, 2);
+    CHECK(stated.page.as_of == Revision(53, 3));
+    REQUIRE(stated.page.documents.size() == 1);
+    CHECK(stated.page.documents[0].revision == Revision(41, 3));
+    CHECK(DecodeList({.status = 200, .body = body}, 2).page.as_of == Revision(53, 2));
+    CHECK(DecodeList({.status = 200, .headers = {{"Store-Era", "-1"}}, .body = body}, 2).outcome ==
+          FeedOutcome::kFailed);
+  }
   SUBCASE("status 410 means that the store no longer has the history") {
     CHECK(DecodeWatch({.status = 410}).outcome == FeedOutcome::kHistoryGone);
   }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,13 +38,26 @@
 
 
 class Store:
-    """The platform's store: one revision counter, list and watch."""
+    """The platform's store: one revision counter, list and watch. It can be away, and come back from an older copy."""
 
     def __init__(self):
         self.items, self.log, self.revision = {}, [], 1
         self.changed = asyncio.Condition()
+        self.epoch = 1
+        self.available = asyncio.Event()
+        self.available.set()
+
+    def copy(self):
+        return dict(self.items), list(self.log), self.revision
+
+    def restore(self, copy):
+        """Comes back from the copy: forgets what was written since, and assigns its revisions again."""
+        self.items, self.log, self.revision = dict(copy[0]), list(copy[1]), copy[2]
+        self.epoch += 1
+        self.available.set()
 
     async def put(self, key, value):
+        await self.available.wait()
         self.revision += 1
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.items[key] = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision,
@@ -54,6 +67,7 @@
             self.changed.notify_all()
 
     async def remove(self, key):
+        await self.available.wait()
         if self.items.pop(key, None):
             self.revision += 1
             self.log.append({"key": key, "revision": self.revision, "removed": True})
@@ -68,6 +82,8 @@
             return 200, {"items": items, "hasMore": False, "asOf": self.revision}
         after, end = int(fields["after"]), time.monotonic() + int(fields["waitMs"]) / 1000
         while True:
+            if after > self.revision:
+                return 410, {"asOf": self.revision}
             events = [event for event in self.log if event["revision"] > after]
             left = end - time.monotonic()
             if events or left <= 0:
@@ -392,8 +408,8 @@
             try:
                 while message := await read_message(reader):
                     status, body = await self.store.answer(message[0].split()[1])
-                    await write_message(writer, f"HTTP/1.1 {status} OK", {"Content-Type": "application/json"},
-                                        json.dumps(body).encode())
+                    await write_message(writer, f"HTTP/1.1 {status} OK", {
+                        "Content-Type": "application/json", "Store-Era": self.store.epoch}, json.dumps(body).encode())
             except (ConnectionError, asyncio.CancelledError):
                 pass  # the end of a watch
             finally:
