Keep the limit of attempts of a call over two coordinators

Cause: the limit belongs to the call, but each coordinator counted its own attempts. The second one took one attempt off for the first, but allowed one at least, so that a limit of one became two. With a limit of two the first coordinator could have used both attempts itself when leaves failed.

Fix: a call with a limit of one is not handed over again once its coordinator may have started it. With a higher limit, the front states for how long it may hand the call over again, and the coordinator uses one attempt of each shard until then. A coordinator for which no attempt is left sends nothing.

--- a/include/ibishold/call.h
+++ b/include/ibishold/call.h
@@ -40,8 +40,11 @@
   Duration external_latency{};
   std::uint64_t fingerprint = 0;    // hash of method, target and body
   bool may_have_been_sent = false;  // another VM may already have sent the call to leaves
-  std::optional<int> priority;      // of the caller's tenant; replaces Route::priority
-  std::uint64_t tenant = 0;         // stable hash of the tenant's name; 0: none
+  // For this long after its arrival, at most one attempt is sent for each shard: if this VM fails
+  // by then, the call is handed over to another VM, which may use the remaining attempts.
+  Duration single_attempt_time{};
+  std::optional<int> priority;  // of the caller's tenant; replaces Route::priority
+  std::uint64_t tenant = 0;     // stable hash of the tenant's name; 0: none
 };
 
 // ---- 2. LeafReply -------------------------------------------------------------------------------
--- a/include/ibishold/dispatch.h
+++ b/include/ibishold/dispatch.h
@@ -187,7 +187,8 @@
     TimePoint partial_answer_at{};  // if enough shards have replied by then
     TimePoint deadline{};
     std::vector<Shard> shards;
-    int attempt_limit = 1;  // limit of Shard::counted_attempts
+    int attempt_limit = 1;             // limit of Shard::counted_attempts
+    TimePoint single_attempt_until{};  // until then, the limit is 1
     std::size_t done_shards = 0;
     std::size_t failed_shards = 0;
     bool may_have_run = false;
@@ -226,6 +227,8 @@
                bool is_extra,
                TimePoint now,
                Actions& actions);
+  // Sends the request of a shard without running attempts again, or marks the shard as failed.
+  void RetryShard(CallId id, CallProgress& progress, Shard& shard, TimePoint now, Actions& actions);
   void HandleAttemptEnd(CallId id,
                         CallProgress& progress,
                         Shard& shard,
@@ -233,6 +236,10 @@
                         TimePoint now,
                         Actions& actions);
   void AnswerOrSchedule(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
+  // Number of leaves that the call may still be sent to for each shard, if no leaf has it yet; 0 if
+  // another VM may have used up the attempts.
+  static int ComputeAttemptLimit(const Route& route, const Call& call);
+  static bool HasAttemptsLeft(const CallProgress& progress, const Shard& shard, TimePoint now);
   // Sends the waiting shards whose retry is due, and considers the hedges that are due.
   void SendDueShards(CallId id, CallProgress& progress, TimePoint now, Actions& actions);
   void ConsiderHedge(CallId id,
--- a/include/ibishold/hand_over.h
+++ b/include/ibishold/hand_over.h
@@ -32,14 +32,13 @@
   Duration min_probe_delay = std::chrono::milliseconds(40);
   Duration probe_timeout = std::chrono::milliseconds(250);
   // A call is handed over again only if its coordinator fails within this share of the objective.
-  // Until then it has sent no hedges, so another one may still send to one leaf of each shard.
+  // Until then it sends to one leaf of each shard only, so that another one may use the remaining
+  // attempts of the route.
   double retry_window_share = 0.2;
   // Time for which a coordinator gets no calls after a broken connection or an unanswered probe.
   Duration suspect_duration = std::chrono::milliseconds(2500);
   // Subtracted from the time limit, so that the answer reaches the caller within it.
   Duration time_limit_margin = std::chrono::milliseconds(15);
-  // Per call: coordinators that may have started it. A call that may run once is started by one.
-  int coordinator_limit = 2;
   int connect_failure_limit = 3;  // per call; when reached, this VM coordinates it
 };
 
@@ -59,13 +58,14 @@
   PeerAddress coordinator;          // kSend, kProbe, kSuspect
   Duration time_left{};             // kSend: time until the caller's deadline
   bool may_have_been_sent = false;  // kSend, kCoordinateLocally
+  Duration single_attempt_time{};   // kSend: Call::single_attempt_time
   Answer answer;                    // kAnswer
 };
 
 // State machine of the handed-over calls. Preferred coordinators are used before all others. If no
 // connection to a coordinator can be opened, the call goes to another one. If a coordinator fails
-// after the connection was opened, the call goes to another one only while no hedges can have been
-// sent; otherwise it fails at once.
+// after the connection was opened, the call goes to one other coordinator if that leaves the number
+// of attempts for each shard within the route's limit; otherwise it fails at once.
 class HandOver {
  public:
   HandOver(HandOverOptions options, std::uint64_t seed);
@@ -112,7 +112,7 @@
     AttemptId probe = 0;      // 0: no probe in progress
     std::vector<RunningAttempt> running_attempts;
     std::vector<PeerAddress> tried_coordinators;
-    int coordinator_limit = 1;       // coordinators that may have started the call
+    int coordinator_limit = 1;       // limit of possibly_started_count
     int possibly_started_count = 0;  // coordinators that may have started the call
     int connect_failures = 0;
   };
--- a/src/dispatch/coordinator.cc
+++ b/src/dispatch/coordinator.cc
@@ -46,9 +46,13 @@
   }
   const Route& route = *progress.route;
   const Call& stored_call = progress.call;
-  // If another VM may have sent the call already, one attempt for each shard counts as used.
-  progress.attempt_limit =
-      std::max(1, route.attempt_limit - (stored_call.may_have_been_sent ? 1 : 0));
+  progress.attempt_limit = ComputeAttemptLimit(route, stored_call);
+  progress.single_attempt_until = now + stored_call.single_attempt_time;
+  if (progress.attempt_limit == 0) {
+    this->Finish(id, progress, this->BuildFailureAnswer(progress, AnswerReason::kAttemptsUsed, now),
+                 now, actions);
+    return id;
+  }
   // A caller's retry has less time left than its first attempt. The time that has passed since the
   // first attempt is estimated as the difference to the longest time_left seen on the route.
   Duration& longest_time = this->longest_time_left[route.name];
@@ -69,6 +73,19 @@
   return id;
 }
 
+int Coordinator::ComputeAttemptLimit(const Route& route, const Call& call) {
+  if (!call.may_have_been_sent) {
+    return std::max(1, route.attempt_limit);
+  }
+  // Another VM has sent at most one attempt for each shard (Call::single_attempt_time).
+  return route.repeatable ? std::max(0, route.attempt_limit - 1) : 0;
+}
+
+bool Coordinator::HasAttemptsLeft(const CallProgress& progress, const Shard& shard, TimePoint now) {
+  return shard.counted_attempts <
+         (now < progress.single_attempt_until ? 1 : progress.attempt_limit);
+}
+
 void Coordinator::StartShard(CallId id,
                              CallProgress& progress,
                              Shard& shard,
--- a/src/dispatch/coordinator_events.cc
+++ b/src/dispatch/coordinator_events.cc
@@ -198,15 +198,29 @@
   const bool retry_allowed = (not_run || route.repeatable) &&
                              shard.counted_attempts < progress.attempt_limit &&
                              shard.total_attempts < kSendLimit && !IsAnswerDue(progress, now);
-  shard.state = ShardState::kFailed;
-  if (retry_allowed) {
-    // If the budget has not counted a first send yet, this attempt is the first one, not an extra.
-    this->TrySend(id, progress, shard, shard.first_send_counted, now, actions);
+  if (!retry_allowed) {
+    shard.state = ShardState::kFailed;
+    ++progress.failed_shards;
+  } else if (HasAttemptsLeft(progress, shard, now)) {
+    this->RetryShard(id, progress, shard, now, actions);
+  } else {
+    shard.state = ShardState::kWaiting;
+    shard.retry_at = progress.single_attempt_until;
   }
+  this->AnswerOrSchedule(id, progress, now, actions);
+}
+
+void Coordinator::RetryShard(CallId id,
+                             CallProgress& progress,
+                             Shard& shard,
+                             TimePoint now,
+                             Actions& actions) {
+  shard.state = ShardState::kFailed;
+  // If the budget has not counted a first send yet, this attempt is the first one, not an extra.
+  this->TrySend(id, progress, shard, shard.first_send_counted, now, actions);
   if (shard.state == ShardState::kFailed) {
     ++progress.failed_shards;
   }
-  this->AnswerOrSchedule(id, progress, now, actions);
 }
 
 void Coordinator::OnCallerLeft(CallId id, TimePoint now, Actions& actions) {
@@ -258,7 +272,11 @@
                                 Actions& actions) {
   for (Shard& shard : progress.shards) {
     if (shard.state == ShardState::kWaiting && shard.retry_at <= now) {
-      this->StartShard(id, progress, shard, now, actions);
+      if (shard.counted_attempts > 0) {
+        this->RetryShard(id, progress, shard, now, actions);
+      } else {
+        this->StartShard(id, progress, shard, now, actions);
+      }
     } else if (shard.state == ShardState::kRunning && shard.hedge_at <= now) {
       this->ConsiderHedge(id, progress, shard, now, actions);
     }
@@ -271,6 +289,10 @@
                                 TimePoint now,
                                 Actions& actions) {
   const Route& route = *progress.route;
+  if (shard.counted_attempts < progress.attempt_limit && !HasAttemptsLeft(progress, shard, now)) {
+    shard.hedge_at = progress.single_attempt_until;
+    return;
+  }
   shard.hedge_at = TimePoint::max();
   for (const Attempt& running_attempt : shard.running_attempts) {
     this->leaf_tracker.RecordOverdue(running_attempt.id, now);
--- a/src/hand_over/hand_over.cc
+++ b/src/hand_over/hand_over.cc
@@ -17,7 +17,8 @@
                      TimePoint now,
                      std::vector<HandOverAction>& actions) {
   CallProgress& progress = this->calls[ticket];
-  progress.coordinator_limit = route.repeatable ? this->options.coordinator_limit : 1;
+  // The first coordinator may use one attempt of each shard before it fails.
+  progress.coordinator_limit = route.repeatable && route.attempt_limit > 1 ? 2 : 1;
   progress.time_left_at = now;
   progress.time_left = call.time_left;
   progress.deadline = now + std::min(route.time_limit, call.time_left - call.external_latency) -
@@ -75,12 +76,16 @@
   progress.tried_coordinators.push_back(*coordinator);
   ++progress.possibly_started_count;
   this->ScheduleTimer(ticket, progress, now + progress.probe_delay);
+  const bool may_be_repeated = progress.possibly_started_count < progress.coordinator_limit;
   actions.push_back({.step = HandOverStep::kSend,
                      .ticket = ticket,
                      .attempt = attempt,
                      .coordinator = *coordinator,
                      .time_left = progress.time_left - (now - progress.time_left_at),
-                     .may_have_been_sent = progress.possibly_started_count > 1});
+                     .may_have_been_sent = progress.possibly_started_count > 1,
+                     .single_attempt_time =
+                         may_be_repeated ? std::max(Duration::zero(), progress.retry_until - now)
+                                         : Duration::zero()});
 }
 
 void HandOver::ScheduleTimer(std::uint64_t ticket, CallProgress& progress, TimePoint at) {
--- a/src/node/internal_headers.h
+++ b/src/node/internal_headers.h
@@ -17,6 +17,8 @@
 // SENT is 1 if leaves may have received the request already, and COST_US is the last measured cost
 // of a hand-over, or empty. Times are in microseconds.
 inline constexpr const char* kHandOverHeader = "Ibishold-Hand-Over";
+// Header of a request that is handed over: Call::single_attempt_time, in microseconds.
+inline constexpr const char* kSingleAttemptHeader = "Ibishold-Single-Attempt";
 // Header of a request that is handed over: the hash of the caller's key.
 inline constexpr const char* kKeyHashHeader = "Ibishold-Key-Hash";
 // Response header that says that the peer did not accept the call and sent nothing for it.
--- a/src/node/node_peers.h
+++ b/src/node/node_peers.h
@@ -84,6 +84,11 @@
                absl::StrCat(ToMicroseconds(handed_over_call.call.external_latency), ",",
                             routes ? routes->version : 0, ",", action.may_have_been_sent ? 1 : 0,
                             ",", cost ? std::to_string(ToMicroseconds(*cost)) : "")});
+      if (action.single_attempt_time > Duration::zero()) {
+        request.headers.push_back(
+            {.name = kSingleAttemptHeader,
+             .value = std::to_string(ToMicroseconds(action.single_attempt_time))});
+      }
       if (handed_over_call.key) {
         request.headers.push_back(
             {.name = kKeyHashHeader, .value = FormatKeyHash(*handed_over_call.key)});
@@ -261,6 +266,8 @@
     return;
   }
   const bool may_have_been_sent = numbers[2] == "1";
+  const std::chrono::microseconds single_attempt_time(
+      ParseNumber<std::uint32_t>(request.header(kSingleAttemptHeader)).value_or(0));
   std::optional<KeyHash> key = ParseKeyHash(request.header(kKeyHashHeader));
   if (!key) {
     // The sender's configuration may not have tenants yet.
@@ -284,6 +291,7 @@
   Call call = Platform::DecodeCall(request, std::chrono::microseconds(*time_outside_us) +
                                                 this->caller_path.EstimateHandOverCost());
   call.may_have_been_sent = may_have_been_sent;
+  call.single_attempt_time = single_attempt_time;
   if (route != nullptr) {
     if (const auto refusal = this->Authorize(*route, key, request, call)) {
       CallerReply reply = Platform::EncodeAnswer(
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -65,6 +65,16 @@
     this->PutRoutesInForce(std::move(table));
   }
 
+  // Sets the limit of attempts on all routes.
+  void SetAttemptLimit(int limit) {
+    RouteTable table = *this->coordinator.routes();
+    ++table.version;
+    for (Route& route : table.routes) {
+      route.attempt_limit = limit;
+    }
+    this->PutRoutesInForce(std::move(table));
+  }
+
   void AddLeaf(const ServiceName& service, const std::string& suffix, const char* data_centre) {
     this->directory.Put({.id = LeafId(service.value + suffix),
                          .service = service,
