Limit the chunk framing of replies

Another operator's report: a faulty leaf sent bytes without end, and the machine that had called it ran out of memory.

Cause: the parser reads a line of the chunk framing only when it is complete and has no limit for it, so that a chunk size, an extension or a trailer was kept up to the limit of a whole reply, on each connection, and was scanned again with every read. The memory behind the buffers was counted too low.

Fix: a line of the framing may be as long as a head, the framing of a reply may exceed its body by 256 KB, and 32 replies to other requests end the connection. Replies in small chunks pass as before.

--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -150,9 +150,11 @@
 
 struct ClientConnectionOptions {
   std::uint64_t body_limit = 8U << 20U;     // bytes of one reply's body, 8 MB
-  std::uint32_t header_limit = 32U << 10U;  // bytes of one reply's status line and headers, 32 KB
+  // Bytes of one reply's status line and headers, and of each line of its chunk framing, 32 KB.
+  std::uint32_t header_limit = 32U << 10U;
   // Bytes that may be received for one request beyond the body limit, for headers, chunk framing,
-  // informational replies and replies to other requests, 256 KB.
+  // informational replies and replies to other requests, 256 KB. The chunk framing of a reply may
+  // exceed its body by as much.
   std::uint64_t overhead_limit = 256U << 10U;
   std::shared_ptr<ReplyMemoryLimiter> memory;        // null: only the limits per reply apply
   Duration silence_limit = std::chrono::seconds(3);  // time without an acknowledgement
@@ -205,6 +207,7 @@
   void OnMessageComplete();
   bool HasInvalidStatus() const;  // false until the headers of the reply are complete
   bool WithinLimits();            // false: the connection has ended
+  bool HasExcessiveFraming() const;
   void ResetParser();
   void End(ConnectionEnd end);
 
@@ -217,7 +220,9 @@
   std::array<char, 8192> read_buffer{};
   std::string output;
   std::uint64_t bytes_received = 0;  // since the request was sent
+  std::uint64_t parsed_bytes = 0;    // of the reply in progress
   int informational_replies = 0;     // since the request was sent
+  int other_replies = 0;             // to other requests, since the request was sent
   std::uint64_t requests = 0;        // number of requests sent on this connection
   bool writing = false;
   bool open = false;
--- a/src/edge/client_connection.cc
+++ b/src/edge/client_connection.cc
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Replies to other requests that may arrive before the reply to a request.
+constexpr int kMaxOtherReplies = 32;
+
 std::string Serialize(const HttpRequest& request) {
   std::string text = absl::StrCat(request.method, " ", request.target,
                                   " HTTP/1.1\r\nHost: ", request.host, "\r\n");
@@ -87,6 +90,7 @@
 
 void ClientConnection::ResetParser() {
   this->parser.emplace();
+  this->parsed_bytes = 0;
   this->parser->eager(true);
   this->parser->body_limit(this->options.body_limit);
   this->parser->header_limit(this->options.header_limit);
@@ -97,6 +101,7 @@
   this->busy = true;
   this->bytes_received = 0;
   this->informational_replies = 0;
+  this->other_replies = 0;
   ++this->requests;
   this->head_only = request.method == "HEAD";
   this->ResetParser();
@@ -177,23 +182,33 @@
   if (!this->busy) {
     return true;
   }
-  if (this->bytes_received > this->options.body_limit + this->options.overhead_limit) {
+  if (this->bytes_received > this->options.body_limit + this->options.overhead_limit ||
+      this->HasExcessiveFraming()) {
     this->End(ConnectionEnd::kProtocolError);
     return false;
   }
   if (this->options.memory) {
     this->options.memory->SetUsage(this->shared_from_this(),
-                                   this->parser->get().body().capacity() + this->input.size());
+                                   this->parser->get().body().capacity() + this->input.capacity());
   }
   return !this->ended;
 }
 
+// The parser limits neither the lines of the chunk framing, which it reads only when they are
+// complete, nor their share of the reply.
+bool ClientConnection::HasExcessiveFraming() const {
+  const std::uint64_t body_bytes = this->parser->get().body().size();
+  return this->input.size() > this->options.header_limit ||
+         this->parsed_bytes > 2 * body_bytes + this->options.overhead_limit;
+}
+
 bool ClientConnection::Parse() {
   while (!this->input.empty() && this->busy) {
     boost::beast::error_code error;
     const std::size_t used =
         this->parser->put(asio::const_buffer(this->input.data(), this->input.size()), error);
     this->input.erase(0, used);
+    this->parsed_bytes += used;
     // Checked before the body is complete, because the body of an invalid reply may never end.
     if ((error && error != http::error::need_more) || this->HasInvalidStatus()) {
       this->End(ConnectionEnd::kProtocolError);
@@ -244,9 +259,11 @@
   if (match == ReplyMatch::kOtherRequest) {
     if (!this->open) {
       this->End(ConnectionEnd::kBroken);
-      return;
+    } else if (++this->other_replies > kMaxOtherReplies) {
+      this->End(ConnectionEnd::kProtocolError);
+    } else {
+      this->ResetParser();
     }
-    this->ResetParser();
     return;
   }
   this->busy = false;
--- a/tests/edge/endless_input_test.cc
+++ b/tests/edge/endless_input_test.cc
@@ -119,6 +119,59 @@
   CHECK(clients.memory->used_bytes() == 0);
 }
 
+TEST_CASE("the chunk framing of a reply uses little memory, even if it does not end") {
+  // Guards against a VM that keeps up to the body limit of each such reply and scans it again with
+  // every read: leaves of 120 shards exhausted the memory of a small VM.
+  boost::asio::io_context context;
+  MemorySharingClients clients(context);
+  const std::string begin = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto repeat = [](const std::string& text) {
+    std::string repeated;
+    while (repeated.size() < kBlock.size()) {
+      repeated += text;
+    }
+    return repeated;
+  };
+  Script script;
+  SUBCASE("a chunk size") {
+    script = {.bytes = begin, .endless = std::string(64U << 10U, '0')};
+  }
+  SUBCASE("a chunk extension") {
+    script = {.bytes = begin + "5;a=", .endless = kBlock};
+  }
+  SUBCASE("chunk extensions") {
+    script = {.bytes = begin + "5", .endless = repeat(";a=b")};
+  }
+  SUBCASE("a trailer") {
+    script = {.bytes = begin + "0\r\nX: ", .endless = kBlock};
+  }
+  SUBCASE("the fields of a trailer") {
+    script = {.bytes = begin + "0\r\n", .endless = repeat("X: y\r\n")};
+  }
+  SUBCASE("chunks of one byte") {
+    script = {.bytes = begin, .endless = repeat("1\r\nx\r\n")};
+  }
+  SUBCASE("chunks with extensions") {
+    script = {.bytes = begin, .endless = repeat("1;" + std::string(500, 'e') + "\r\nx\r\n")};
+  }
+  clients.Send(script);
+  CHECK(clients.RunUntilSettled(seconds(20)));
+  CHECK(clients.protocol_errors == 1);
+  CHECK(clients.peak_bytes <= 512U << 10U);
+}
+
+TEST_CASE("a reply in small chunks is received") {
+  boost::asio::io_context context;
+  MemorySharingClients clients(context);
+  std::string body;
+  for (int i = 0; i < 60000; ++i) {
+    body += "10\r\n0123456789abcdef\r\n";
+  }
+  clients.Send({.bytes = kHead + "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n"});
+  CHECK(clients.RunUntilSettled(seconds(20)));
+  CHECK(clients.replies == 1);
+}
+
 TEST_CASE("servers that send endless bytes do not affect replies from other servers") {
   // A call is fanned out over 225 shards on a VM with 112 MB; a third of the leaves send endlessly.
   boost::asio::io_context context;
