Bound the input buffers of the daemons

A leaf, a caller or the platform that sends a line of chunk framing without end (a size, an extension, a trailer) made the broker, the front or their platform client keep all of it until the time limit of the call: the parser has no limit for such a line, and the buffers had none either. A broker could so run out of memory by one leaf.

The buffers now hold 64 KB, more than any head that is accepted. A message whose framing does not fit is invalid.

--- a/include/ibishold/leaf.h
+++ b/include/ibishold/leaf.h
@@ -88,6 +88,8 @@
 struct LeafConnectionOptions {
   Duration connect_timeout = std::chrono::seconds(1);
   std::size_t body_limit_bytes = 4U << 20U;  // body of one reply, 4 MB
+  // Received but not parsed; bounds each line of a reply's chunk framing, 64 KB.
+  std::size_t buffer_limit_bytes = 64U << 10U;
 };
 
 // HTTP connection to one leaf. Not thread-safe: call all functions on the thread of the io_context.
--- a/src/adapters/caller/session.h
+++ b/src/adapters/caller/session.h
@@ -49,7 +49,8 @@
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
   CallerServer& server;
-  boost::beast::flat_buffer buffer;
+  // Bounds each line of the chunk framing of a request.
+  boost::beast::flat_buffer buffer{64U << 10U};
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
   boost::beast::http::response<boost::beast::http::string_body> response;
   Phase phase = Phase::kIdle;
--- a/src/adapters/leaf/leaf_connection.cc
+++ b/src/adapters/leaf/leaf_connection.cc
@@ -118,7 +118,7 @@
 }  // namespace
 
 LeafConnection::LeafConnection(asio::io_context& context, LeafConnectionOptions options)
-    : stream(context), options(options) {}
+    : stream(context), options(options), buffer(options.buffer_limit_bytes) {}
 
 void LeafConnection::Open(const std::string& address, std::uint16_t port, Handlers new_handlers) {
   this->handlers = std::move(new_handlers);
--- a/src/adapters/platform/platform_client.cc
+++ b/src/adapters/platform/platform_client.cc
@@ -142,7 +142,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{64U << 10U};  // bounds each line of the chunk framing
   http::request<http::empty_body> request;
   std::size_t body_limit_bytes;
   std::optional<http::response_parser<http::string_body>> parser;
--- a/tests/broker/leaf_connection_test.cc
+++ b/tests/broker/leaf_connection_test.cc
@@ -11,10 +11,10 @@
 
 // Answers a search with these bytes, of which the connection must deliver no reply, and returns why
 // it closed.
-absl::Status GetCloseReason(const std::string& bytes, bool server_closes = false) {
+absl::Status GetCloseReason(const Script& script) {
   boost::asio::io_context context;
   ScriptedServer server(context);
-  server.scripts = {{.bytes = bytes, .close = server_closes}};
+  server.scripts = {script};
   const auto connection = std::make_shared<LeafConnection>(context, LeafConnectionOptions{});
   int reply_count = 0;
   absl::Status close_reason;
@@ -37,8 +37,39 @@
   return close_reason;
 }
 
+absl::Status GetCloseReason(const std::string& bytes, bool server_closes = false) {
+  return GetCloseReason(Script{.bytes = bytes, .close = server_closes});
+}
+
 }  // namespace
 
+// Guards against a broker that runs out of memory: the framing of a reply had no limit.
+TEST_CASE("a leaf that sends bytes without end is disconnected") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string block(64U << 10U, 'x');
+  Script script;
+  SUBCASE("before the status") {
+    script = {.endless = block};
+  }
+  SUBCASE("in a header field") {
+    script = {.bytes = ok + "X: ", .endless = block};
+  }
+  SUBCASE("in a body without length") {
+    script = {.bytes = ok + "\r\n", .endless = block};
+  }
+  SUBCASE("in a chunk size") {
+    script = {.bytes = chunked, .endless = std::string(64U << 10U, '0')};
+  }
+  SUBCASE("in a chunk extension") {
+    script = {.bytes = chunked + "5;a=", .endless = block};
+  }
+  SUBCASE("in a trailer") {
+    script = {.bytes = chunked + "0\r\nX: ", .endless = block};
+  }
+  CHECK(absl::IsInternal(GetCloseReason(script)));
+}
+
 // Guards against a reply that is cut in its head and delivered as a success with an empty or short
 // body.
 TEST_CASE("a leaf's reply that is cut at any byte and closed is not delivered") {
--- a/tests/front/caller_input_test.cc
+++ b/tests/front/caller_input_test.cc
@@ -194,6 +194,16 @@
     }
     CHECK(caller.ReadAnswer().status == 413);
   }
+  SUBCASE("a chunk extension without end gets 400") {
+    // Guards against a front that keeps all of it until the time limit of the request.
+    caller.SendBytes("POST " + kQueryPath +
+                     " HTTP/1.1\r\nHost: f\r\nX-Deadline-Ms: 9\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n5;a=");
+    for (int i = 0; i < 20; ++i) {
+      caller.SendBytes(std::string(4096, 'x'));
+    }
+    CHECK(caller.ReadAnswer().status == 400);
+  }
   SUBCASE("a header over 8 KB gets 431") {
     const HttpAnswer answer = caller.Post(kQueryPath, "{}", {{"X-Long", std::string(9000, 'x')}});
     CHECK(answer.status == 431);
