Let the soak restore the store from an older copy

The fault overlaps with the others: the store is away, comes back from a copy that is up to 4.5 s old, and the operator and the leaves write again up to 1 s later. No configuration may go back meanwhile, and the next ones come into force as always.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,8 +3,8 @@
 
 Starts several nodes, stand-ins of the platform's store and leaves, and a proxy between nodes and store. While callers
 send requests over kept connections, faults are injected from outside: processes are stopped, paused, killed and
-restarted by signals; connections to the store are delayed, reset, cut or silenced; leaves drain, vanish and come back;
-the configuration changes. Promises are checked while it runs, from what callers and leaves see:
+restarted by signals; connections to the store are delayed, reset, cut or silenced; the store comes back from an older
+copy; leaves drain, vanish and come back; the configuration changes. Promises are checked while it runs, from what callers and leaves see:
 
 - a success holds only signatures that leaves gave to this very request, at most one of each shard, and states the number
   of missing shards truly; the body is the merge of the named parts;
@@ -235,14 +235,15 @@
         shards = [f"shard-{i}" for i in range(SHARDS)]
         base = {"host": "h.example", "timeoutMs": 1500, "sloMs": 300, "priority": 1, "maxAttempts": 2}
         self.routes.append((time.monotonic(), self.version, marker))
-        await self.store.put("op/config", {
+        self.published = {
             "version": self.version,
             "routes": [{**base, "name": "all", "prefix": "/all/", "routeType": "idempotent", "gather": shards, "topK": 7,
                         "minCoverage": 0.5},
                        {**base, "name": "once", "prefix": "/once/", "routeType": "non_idempotent", "service": "single"},
                        {**base, "name": "marker", "prefix": marker, "routeType": "idempotent", "service": "single"}],
             "services": [{"name": name, "maxConns": 60, "rampPerS": 0} for name in shards + ["single"]],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+        await self.store.put("op/config", self.published)
 
     def calm(self, seconds):
         return time.monotonic() - self.calm_since > seconds
@@ -268,7 +269,8 @@
 
     async def fault(self):
         """One fault; overlaps with others, since nobody waits for its end."""
-        chosen = self.random.choice(["kill", "term", "pause", "store", "leaf", "config", "config", "drain", "reset"])
+        chosen = self.random.choice(["kill", "term", "pause", "store", "leaf", "config", "config", "drain", "reset",
+                                     "restore"])
         self.count("fault " + chosen)
         if chosen in ("kill", "term", "pause"):
             index = self.random.randrange(NODES)
@@ -303,6 +305,20 @@
             await asyncio.sleep(self.random.uniform(0.5, 3))
             self.proxy.mode, self.proxy.delay = "pass", 0
             self.calm_since = time.monotonic()
+        elif chosen == "restore":
+            copy = self.store.copy()
+            await asyncio.sleep(self.random.uniform(0.5, 3))
+            self.proxy.mode = "cut"
+            self.proxy.reset()
+            self.store.available.clear()
+            self.calm_since = time.monotonic()
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            self.store.restore(copy)
+            self.proxy.mode = "pass"
+            self.calm_since = time.monotonic()
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+            await self.write_again()
+            self.calm_since = time.monotonic()
         elif chosen == "reset":
             self.calm_since = time.monotonic()
             self.proxy.reset()
@@ -324,6 +340,15 @@
         else:
             await self.publish()
 
+    async def write_again(self):
+        """The operator and the leaves write what the restored store lacks; entries of leaves that are gone expire."""
+        await self.store.put("op/config", self.published)
+        for state in list(self.leaves.values()):
+            await self.register(state)
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key.removeprefix("servers/") not in self.leaves:
+                await self.store.remove(key)
+
     # ---- callers --------------------------------------------------------------------------------
 
     async def caller(self, number):
