--- a/include/ibishold/edge.h
+++ b/include/ibishold/edge.h
@@ -149,7 +149,7 @@
 using ReplyMemoryLimiter = InputMemoryLimiter<ClientConnection>;
 
 struct ClientConnectionOptions {
-  std::uint64_t body_limit = 8U << 20U;     // bytes of one reply's body, 8 MB
+  std::uint64_t body_limit = 8U << 20U;  // bytes of one reply's body, 8 MB
   // Bytes of one reply's status line and headers, and of each line of its chunk framing, 32 KB.
   std::uint32_t header_limit = 32U << 10U;
   // Bytes that may be received for one request beyond the body limit, for headers, chunk framing,
