--- a/include/ibishold/core.h
+++ b/include/ibishold/core.h
@@ -12,7 +12,6 @@
 //   6. Text           ParseNumber, SplitText, TrimText, EqualsIgnoreCase
 //   7. Pauses         PauseDetector
 //   8. Revisions      Revision, FormatRevision, ChangeOrigin
-//   8. Revisions      Revision, FormatRevision
 
 #include <array>
 #include <charconv>
