--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,6 @@
 """A leaf that has restarted under its id asks every VM to hold off, and gets work all the same once its new entry is read.
 
-13 VMs. The leaves of a service crash and are back after 2 s under the same ids. They listen at once and report to the store
+13 VMs. All leaves of one shard of four crash (srv_crash) and are back after 2 s under the same ids. They listen at once and report to the store
 with their first beat, 1 s later. While they come up they turn the first request of each VM away with 503 and Retry-After.
 """
 import asyncio
@@ -15,6 +15,7 @@
 DOWN_S, FIRST_BEAT_S = 2.0, 1.0
 RETRY_AFTER_S, REACTION_S, ALLOWED = 5.0, 0.5, 2
 CALLS_PER_S = 78.0
+SHARDS = [f"desk-{number}" for number in range(4)]
 
 
 class RestartingLeaf(Leaf):
@@ -57,14 +58,17 @@
 
 async def case(fleet):
     await fleet.start_vms()
-    leaves = [RestartingLeaf(fleet, "member-dues", zone, 0.03) for zone in ("bole", "merkato")]
+    leaves = [RestartingLeaf(fleet, SHARDS[0], zone, 0.02) for zone in ("bole", "merkato")]
+    for service in SHARDS[1:]:
+        for zone in ("bole", "merkato"):
+            await Leaf(fleet, service, zone, 0.02).start()
     vm_of = {}
     for leaf in leaves:
         leaf.vm_of = vm_of
         await leaf.start()
-    route = {"name": "r-slip", "host": "pupu76.example", "prefix": "/slip/", "routeType": "idempotent", "timeoutMs": 6000,
-             "sloMs": 600, "priority": 2, "service": "member-dues", "maxAttempts": 2}
-    await fleet.config(1, [route], [{"name": "member-dues"}])
+    route = {"name": "r-ledger", "host": "pupu76.example", "prefix": "/ledger/", "routeType": "idempotent", "timeoutMs": 1500,
+             "sloMs": 150, "priority": 1, "gather": SHARDS, "maxAttempts": 2, "topK": 20, "minCoverage": 0.75}
+    await fleet.config(1, [route], [{"name": name} for name in SHARDS])
     await fleet.wait_ready()
     await asyncio.sleep(4)
     calls, tasks = [], []
@@ -72,7 +76,7 @@
     async def one_call(vm):
         request = f"{fleet.random.getrandbits(64):016x}"
         vm_of[request] = vm
-        calls.append(await fleet.ask(vm, "GET", "/slip/2f", 6000, request=request))
+        calls.append(await fleet.ask(vm, "GET", "/ledger/2f", 1500, request=request))
 
     async def load(seconds):
         end = time.monotonic() + seconds
@@ -86,7 +90,7 @@
     if TROUBLE:
         for leaf in leaves:
             leaf.crash()
-        fleet.say("the leaves crash", show=True)
+        fleet.say("the leaves of the shard crash", show=True)
         await asyncio.sleep(DOWN_S)
         for leaf in leaves:
             await leaf.start()
@@ -116,4 +120,4 @@
     return broken > 0
 
 
-play(case, Fleet(pathlib.Path(__file__).parent, ZONES))
+play(case, Fleet(pathlib.Path(__file__).resolve().parent / "record.txt", ZONES))
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -16,7 +16,7 @@
 import sys
 import tempfile
 import time
-import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -28,6 +28,24 @@
     pass
 
 
+def exit_as_not_run(kind, problem, trace):
+    """An exit with 1 would say that the rule was broken."""
+    traceback.print_exception(kind, problem, trace)
+    sys.stdout.flush()
+    os._exit(2)
+
+
+sys.excepthook = exit_as_not_run
+
+
+def read_command():
+    """The `run` command of the role in deploy/system.toml."""
+    for line in (ROOT / "deploy/system.toml").read_text().splitlines():
+        if line.startswith("run = "):
+            return line.partition("=")[2].strip().strip('"').split()
+    raise CannotRun("deploy/system.toml has no run command")
+
+
 class Store:
     """One revision counter, lists and watches. Each VM has a port of its own, so that the store can leave one without answer."""
 
@@ -197,19 +215,19 @@
 
 
 class Fleet:
-    def __init__(self, folder, zones, cpu_shares=None, seed=1):
-        """`zones`: the zone of each VM, in order."""
-        self.folder = pathlib.Path(folder)
+    def __init__(self, record, zones, cpu_shares=None, seed=1):
+        """`record`: path of the case's record.txt; `zones`: the zone of each VM, in order."""
         self.zones, self.random = zones, random.Random(seed)
         self.cpu_shares = cpu_shares or [0.17] * len(zones)
         self.net = f"127.{100 + os.getpid() % 100}.{1 + os.getpid() // 100 % 200}"
         self.leaf_host = f"{self.net}.250"
         self.store, self.processes, self.runs = Store(), {}, []
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-3-"))
-        self.record = open(self.folder / "record.txt", "w")
+        # Line by line, so that the record holds what happened before an end from outside.
+        self.record = open(record, "w", buffering=1, encoding="utf-8")
         self.begun = time.monotonic()
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.command = deploy["roles"]["node"]["run"].split()
+        self.command = read_command()
+        self.say(f"disruption: {'yes' if TROUBLE else 'no'} (TROUBLE)")
 
     def say(self, text, show=False):
         line = f"{time.monotonic() - self.begun:8.3f} {text}"
@@ -333,7 +351,7 @@
         try:
             code = 1 if await asyncio.wait_for(case(fleet), 112) else 0
         except (CannotRun, asyncio.TimeoutError, OSError) as problem:
-            print("cannot run:", repr(problem))
+            fleet.say(f"cannot run: {problem!r}", show=True)
         finally:
             end(code)
     for name in (signal.SIGTERM, signal.SIGINT):
